--- /dev/null
+++ b/cloverhinge/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and outcomes; knows no wire."""
--- a/ravenridge/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -1,4 +1,4 @@
-"""Who plays, on which server, at which rung.  Interface: ravenridge/interface.py; exceptions: docs/design.md.
+"""Who plays, on which server, at which rung.  Events and actions: interface.py; exceptions are marked below.
 
 DALA token routing: a title's token holder takes its new sessions until the admission test fails; the token
 then passes to the least-loaded holder that admits, else the session is refused."""
@@ -10,8 +10,8 @@
 import operator
 import random
 
-from ravenridge import interface as api
-from ravenridge.state import Fleet, Limit, Recent, Server, Session, held
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.state import Fleet, Limit, Recent, Server, Session, held
 
 MARK = 0.90  # load up to which sessions are admitted; the rest is room for the spread of true rates
 RESERVE = 0.2  # load left free by steps that earn nothing, in proportion by others
--- a/ravenridge/state.py
+++ b/cloverhinge/decision/state.py
@@ -5,7 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from ravenridge.interface import (
+from cloverhinge.decision.interface import (
     FleetUpdate,
     Health,
     ListKind,
--- /dev/null
+++ b/cloverhinge/hls/__init__.py
@@ -0,0 +1,1 @@
+"""The HLS front: manifests rewritten for each session."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from ravenridge import interface as api
-from ravenridge.logic import Controller
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.logic import Controller
 
 FILM = api.ServiceClass("film", aim_us=1_000_000, deadline_us=4_000_000)
 PAID = api.ServiceClass("paid", effect=api.Effect.ONCE, aim_us=1_000_000, deadline_us=4_000_000, floor=1,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from ravenridge import interface as api
-from ravenridge.interface import Outcome
-from ravenridge.logic import Controller
-from ravenridge.state import Limit
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.interface import Outcome
+from cloverhinge.decision.logic import Controller
+from cloverhinge.decision.state import Limit
 from tests.helpers import Drive, of, sent, settings
 
 
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from ravenridge import interface as api
-from ravenridge.interface import Health, Outcome
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.interface import Health, Outcome
 from tests.helpers import BASE, Drive, settings
 
 FAILURES = (Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from ravenridge import interface as api
-from ravenridge.interface import Outcome
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.interface import Outcome
 from tests.helpers import Drive, of, sent, settings
 
 
--- a/tests/test_token.py
+++ b/tests/test_token.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from ravenridge import interface as api
-from ravenridge.interface import Outcome
-from ravenridge.logic import Controller
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.interface import Outcome
+from cloverhinge.decision.logic import Controller
 from tests.helpers import BASE, FILM, Drive, of, sent, settings
 
 
--- a/tests/test_simhost.py
+++ b/tests/test_wirehost.py
@@ -25,7 +25,7 @@
 def run(*batches: Any) -> subprocess.CompletedProcess[str]:
     lines = [b if isinstance(b, str) else json.dumps({"tsUs": 1000000 + n, "msgs": b})
              for n, b in enumerate(batches)]
-    return subprocess.run([sys.executable, "-m", "ravenridge.simhost"], cwd=ROOT, capture_output=True,
+    return subprocess.run([sys.executable, "-m", "cloverhinge.wirehost"], cwd=ROOT, capture_output=True,
                           text=True, input="\n".join(lines) + "\n", timeout=30)
 
 
