--- /dev/null
+++ b/cloverhinge/core/deadlines.py
@@ -0,0 +1,77 @@
+"""All deadlines in one ordered structure, driven by one timer of the reactor."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from sortedcontainers import SortedDict
+
+from cloverhinge.core.clock import Clock
+
+Key = tuple[float, int]
+
+
+class Timer(Protocol):
+    def cancel(self) -> Any: ...
+
+
+class Deadlines:
+    def __init__(self, clock: Clock, call_later: Callable[[float, Callable[[], None]], Timer] | None = None,
+                 ) -> None:
+        """`call_later` takes seconds; without it, a test calls `run` itself."""
+        self.clock = clock
+        self._call_later = call_later
+        self._due: SortedDict[Key, Callable[[], None]] = SortedDict()
+        self._count = 0
+        self._timer: Timer | None = None
+        self._timer_at = 0.0
+        self._running = False
+
+    def __len__(self) -> int:
+        return len(self._due)
+
+    def arm(self, at_ms: float, call: Callable[[], None]) -> Key:
+        self._count += 1
+        key = (at_ms, self._count)
+        self._due[key] = call
+        self._wind()
+        return key
+
+    def after(self, ms: float, call: Callable[[], None]) -> Key:
+        return self.arm(self.clock.now() + ms, call)
+
+    def cancel(self, key: Key | None) -> None:
+        """Safe for one that has passed, or for None."""
+        if key is not None and self._due.pop(key, None) is not None:
+            self._wind()
+
+    def run(self) -> None:
+        """Call everything that is due.  What a call arms anew waits for the next run."""
+        self._timer, self._running = None, True
+        try:
+            now = self.clock.now()
+            last = self._count
+            for key in list(self._due.irange(maximum=(now, last))):
+                call = self._due.pop(key, None)  # an earlier call may have cancelled it
+                if call is not None:
+                    call()
+        finally:
+            self._running = False
+            self._wind()
+
+    def _wind(self) -> None:
+        if self._call_later is None or self._running:
+            return
+        if not self._due:
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+            return
+        first = self._due.peekitem(0)[0][0]
+        if self._timer is not None:
+            if self._timer_at == first:
+                return
+            self._timer.cancel()
+        self._timer_at = first
+        self._timer = self._call_later(max(0.0, first - self.clock.now()) / 1000.0, self.run)
--- /dev/null
+++ b/cloverhinge/core/invariants.py
@@ -0,0 +1,15 @@
+"""What must hold: asserted in debug builds, counted in release builds (`python -O`)."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+broken: Counter[str] = Counter()
+
+
+def holds(condition: bool, name: str) -> bool:
+    """Tell whether a condition holds; callers take their safe way out where it does not."""
+    if not condition:
+        broken[name] += 1
+    assert condition, name
+    return condition
--- /dev/null
+++ b/cloverhinge/core/model.py
@@ -0,0 +1,118 @@
+"""Requests, attempts and outcomes, and the two ports through which wires are joined to the core."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from cloverhinge.core.deadlines import Key
+from cloverhinge.decision.interface import Outcome, ServiceClass
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What a viewer wants, as any front reads it."""
+
+    name: str  # the session's id, as the wires carry it
+    class_name: str
+    title: str
+    first_cell: int
+    copies: int
+    ceiling: int
+    wait_ms: float  # how long the viewer waits for the answer
+    body: bytes = b""  # its description, for the box alone
+    length_ms: float = 0.0
+    viewer: str = ""
+    returning: bool = False
+
+
+class State(Enum):
+    OPEN = "open"  # a final answer is owed
+    STANDS = "stands"
+    OVER = "over"
+
+
+class Cause(Enum):
+    """Why a session that stood is over."""
+
+    ENDED = 16
+    CANCELLED = 31
+    CUT = 41
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    ask: Ask
+    kind: ServiceClass
+    viewer: Viewer
+    boxes: Boxes
+    taken_ms: float
+    expires_ms: float
+    handle: int = 0
+    state: State = State.OPEN
+    attempts: int = 0
+    attempt: Attempt | None = None  # the one that is out
+    may_have_run: bool = False
+    last_outcome: Outcome | None = None
+    server: int | None = None  # where it stands
+    rung: int | None = None  # None = the lowest of the class
+    guard: Key | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    request: Request
+    number: int
+    server: int
+    started_ms: float
+    until_ms: float
+    written: bool = False  # its first byte has been handed to the network
+    deadline: Key | None = None
+
+
+@dataclass(slots=True)
+class Counters:
+    """Since the start of the program."""
+
+    taken: int = 0
+    carried: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    left: int = 0
+    attempts: int = 0
+    probes: int = 0
+    cut: int = 0
+    ended: int = 0
+    moved: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+
+    def outcome(self, outcome: Outcome) -> None:
+        self.outcomes[outcome.value] = self.outcomes.get(outcome.value, 0) + 1
+
+
+class Viewer(Protocol):
+    """Towards whoever asked.  Exactly one of the first three is called, unless the viewer has left."""
+
+    def served(self, answer: bytes) -> None: ...
+    def refused(self, hold_off_ms: float) -> None: ...
+    def failed(self, why: Outcome | None) -> None: ...
+    def released(self, cause: Cause) -> None: ...
+    def moved(self) -> None: ...
+
+
+class Boxes(Protocol):
+    """Towards the boxes, over one wire."""
+
+    def set_up(self, attempt: Attempt) -> None:
+        """Send it once `Router.may_write` says so; report to `answered` or `attempt_ended`."""
+
+    def give_up(self, attempt: Attempt) -> None: ...
+    def release(self, request: Request, cause: Cause) -> None: ...
+    def set_rung(self, request: Request, rung: int) -> None: ...
+
+
+class Prober(Protocol):
+    def probe(self, server: int) -> None:
+        """Report to `Router.probed`, in any case."""
--- /dev/null
+++ b/cloverhinge/core/router.py
@@ -0,0 +1,373 @@
+"""The router: feeds events to the decision module, carries out its actions, and keeps the rules.
+
+Each guard below says what it is for.  A guard that has to act shows a defect elsewhere, so it goes through
+`holds`: an assertion in debug builds, a counter and the safe way out in release builds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from twisted.logger import Logger
+
+from cloverhinge.core.clock import Clock, to_ms, to_us
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.core.invariants import holds
+from cloverhinge.core.model import (
+    Ask,
+    Attempt,
+    Boxes,
+    Cause,
+    Counters,
+    Prober,
+    Request,
+    State,
+    Viewer,
+)
+from cloverhinge.core.slots import Table
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.interface import Effect, Health, Outcome
+from cloverhinge.decision.logic import Controller
+
+ANSWER_MARGIN_MS = 60.0  # an answer is on its way so long before the viewer stops waiting
+GUARD_MARGIN_MS = 25.0  # and whatever happens, so long before
+CAUSES = {Outcome.SERVED: Cause.ENDED, Outcome.RESET: Cause.CUT, Outcome.CANCELLED: Cause.CANCELLED}
+
+
+class Router:
+    log = Logger()
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, deadlines: Deadlines,
+                 most_requests: int = 4096) -> None:
+        self.settings, self.clock, self.deadlines = settings, clock, deadlines
+        self.classes = {one.name: one for one in settings.classes}
+        self.controller = Controller(settings, seed)
+        self.requests: Table[Request] = Table(most_requests)
+        self.by_name: dict[str, Request] = {}
+        self.standing: dict[int, dict[int, Request]] = {}  # by server, then by handle
+        self.listings: dict[int, api.ServerListing] = {}
+        self.counters = Counters()
+        self.prober: Prober | None = None
+        self.on_open: Callable[[], None] = lambda: None  # told whenever an open request is concluded
+        self.open = 0
+        self._events: deque[api.Event] = deque()
+        self._telling = False
+
+    # Towards the module
+
+    def tell(self, event: api.Event) -> None:
+        """Events go in one at a time; what an action brings about at once waits its turn."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                for action in self.controller.handle(to_us(self.clock.now()), self._events.popleft()):
+                    self._carry_out(action)
+        finally:
+            self._telling = False
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.SetUp(session, server, timeout_us):
+                self._set_up(session, server, timeout_us)
+            case api.SetRung(session, rung):
+                self._set_rung(session, rung)
+            case api.Refuse(session, retry_after_us):
+                self._refuse(session, to_ms(retry_after_us))
+            case api.Fail(session):
+                self._fail(session)
+            case api.Move(session):
+                self._move(session)
+            case api.Probe(server):
+                self.counters.probes += 1
+                if self.prober is None or server not in self.listings:
+                    self.tell(api.ProbeEnded(server, Outcome.CONNECT_FAILED))
+                else:
+                    self.prober.probe(server)
+            case api.SetTimer(delay_us, token):
+                self.deadlines.after(to_ms(delay_us), lambda: self.tell(api.TimerFired(token)))
+            case api.Log(text):
+                self.log.info("{text}", text=text)
+            case api.Subscribe():
+                pass  # the change log is followed in any case
+
+    # Requests
+
+    def take(self, ask: Ask, viewer: Viewer, boxes: Boxes) -> Request | None:
+        """A new request; None where the table has no slot for it or its id is held already."""
+        if self.requests.full or ask.name in self.by_name:
+            return None
+        now = self.clock.now()
+        request = self._hold(ask, viewer, boxes, now)
+        request.guard = self.deadlines.arm(now + max(0.0, ask.wait_ms - GUARD_MARGIN_MS),
+                                           lambda: self._overdue(request))
+        self.counters.taken += 1
+        self.open += 1
+        self.tell(self._requested(request))
+        return request
+
+    def carry(self, ask: Ask, server: int, viewer: Viewer, boxes: Boxes) -> Request | None:
+        """A session that plays already.  One that is held already stays as it is."""
+        if self.requests.full or ask.name in self.by_name:
+            return None
+        request = self._hold(ask, viewer, boxes, self.clock.now())
+        request.attempts = 1
+        self._stand(request, server)
+        self.counters.carried += 1
+        self.tell(self._requested(request, server))
+        return request
+
+    def _hold(self, ask: Ask, viewer: Viewer, boxes: Boxes, now: float) -> Request:
+        request = Request(ask, self.classes[ask.class_name], viewer, boxes, now,
+                          now + max(0.0, ask.wait_ms - ANSWER_MARGIN_MS))
+        request.handle = self.requests.put(request)
+        self.by_name[ask.name] = request
+        return request
+
+    def _requested(self, request: Request, server: int | None = None) -> api.SessionRequested:
+        ask = request.ask
+        return api.SessionRequested(
+            request.handle, ask.class_name, ask.title, ask.first_cell, ask.copies, ask.ceiling,
+            to_us(request.expires_ms), viewer=ask.viewer, length_us=to_us(ask.length_ms),
+            returning=ask.returning, server=server)
+
+    def leave(self, request: Request) -> None:
+        """The viewer gives the set-up up, or ends the session; it is owed nothing more."""
+        if request.state is State.OPEN:
+            self.counters.left += 1
+            attempt = request.attempt
+            if attempt is not None:
+                self._withdraw(attempt)
+            self._conclude(request)
+            self.tell(api.ViewerLeft(request.handle))
+            if attempt is not None:
+                self._settle(attempt, Outcome.CANCELLED, concluded=True)
+        elif request.state is State.STANDS:
+            self._end(request, Outcome.CANCELLED, None, tell_box=True, tell_viewer=False)
+
+    # Attempts
+
+    def _set_up(self, session: int, server: int, timeout_us: int) -> None:
+        request = self.requests.get(session)
+        if request is None or request.state is not State.OPEN:
+            return  # concluded by an event earlier in this round
+        now = self.clock.now()
+        until = request.expires_ms
+        if timeout_us > 0:
+            until = min(until, now + to_ms(timeout_us))
+        attempt = Attempt(request, request.attempts, server, now, until)
+        request.attempts += 1
+        if not self._may_attempt(request, server):
+            self._settle(attempt, Outcome.MOOT, concluded=False)
+            return
+        request.attempt = attempt
+        attempt.deadline = self.deadlines.arm(until, lambda: self._timed_out(attempt))
+        self.counters.attempts += 1
+        request.boxes.set_up(attempt)
+
+    def _may_attempt(self, request: Request, server: int) -> bool:
+        kind = request.kind
+        seated = not kind.seats or 1 + sum(
+            1 for other in self.requests if other is not request and other.kind is kind
+            and other.ask.title == request.ask.title
+            and (other.state is State.STANDS or other.attempt is not None)) <= kind.seats
+        return (holds(request.attempt is None, "one attempt out at a time")
+                and holds(not (request.may_have_run and kind.effect is Effect.ONCE), "paid set-up sent once")
+                and holds(request.attempts <= self.settings.max_attempts, "attempts within the limit")
+                and holds(seated, "sessions within the seats")
+                and self.sendable(server))
+
+    def sendable(self, server: int) -> bool:
+        listing = self.listings.get(server)
+        return listing is not None and listing.health is Health.READY
+
+    def may_write(self, attempt: Attempt) -> bool:
+        """Asked right before an attempt's first byte is written.
+
+        Guards the drain rule: a box may have been told draining or gone since the module chose it, while its
+        connection was being opened.  Where the answer is no, the attempt ends as one that never ran.
+        """
+        if attempt.request.attempt is not attempt:
+            return False
+        if not self.sendable(attempt.server):
+            self.attempt_ended(attempt, Outcome.MOOT)
+            return False
+        attempt.written = True
+        return True
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        attempt.deadline = None
+        if attempt.request.attempt is attempt:
+            self._withdraw(attempt)
+            # What was never written can't have run, whatever became of its connection.
+            self._settle(attempt, Outcome.TIMEOUT if attempt.written else Outcome.CONNECT_FAILED, False)
+
+    def _withdraw(self, attempt: Attempt) -> None:
+        attempt.request.boxes.give_up(attempt)
+
+    def _settle(self, attempt: Attempt, outcome: Outcome, concluded: bool,
+                report: api.LoadReport | None = None) -> None:
+        request = attempt.request
+        self.deadlines.cancel(attempt.deadline)
+        attempt.deadline = None
+        if request.attempt is attempt:
+            request.attempt = None
+        request.last_outcome = outcome
+        if not outcome.never_ran:
+            request.may_have_run = True
+        self.counters.outcome(outcome)
+        self.tell(api.AttemptEnded(request.handle, attempt.number, attempt.server, outcome, concluded,
+                                   to_us(self.clock.now() - attempt.started_ms), report))
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, report: api.LoadReport | None = None) -> None:
+        """A box, or the way to it, ended an attempt without setting the session up."""
+        if attempt.request.attempt is attempt:
+            self._settle(attempt, outcome, False, report)
+
+    def answered(self, attempt: Attempt, answer: bytes) -> bool:
+        """The session stands.  False where the attempt is not out any more: the box has to release it."""
+        request = attempt.request
+        if request.attempt is not attempt or request.state is not State.OPEN:
+            return False
+        self.deadlines.cancel(attempt.deadline)
+        request.attempt, request.may_have_run = None, True
+        self._conclude(request, keep=True)
+        self._stand(request, attempt.server)
+        self.counters.served += 1
+        request.viewer.served(answer)
+        self.tell(api.SessionStarted(request.handle, attempt.server, attempt.number))
+        return True
+
+    # Final answers
+
+    def _conclude(self, request: Request, keep: bool = False) -> None:
+        self.deadlines.cancel(request.guard)
+        request.guard = None
+        if holds(request.state is State.OPEN, "one final answer"):
+            self.open -= 1
+        if not keep:
+            self._drop(request)
+        self.on_open()
+
+    def _drop(self, request: Request) -> None:
+        request.state = State.OVER
+        self.requests.free(request.handle)
+        if self.by_name.get(request.ask.name) is request:
+            del self.by_name[request.ask.name]
+
+    def _refuse(self, session: int, hold_off_ms: float) -> None:
+        request = self.requests.get(session)
+        if request is None or request.state is not State.OPEN:
+            return
+        harmless = request.kind.effect is Effect.REPEATABLE or not request.may_have_run
+        if not holds(request.attempt is None, "nothing out at the final answer") and request.attempt:
+            self._withdraw(request.attempt)
+            harmless = harmless and request.kind.effect is Effect.REPEATABLE
+        if not holds(harmless, "paid set-up refused only if it never ran"):
+            return self._fail(session)
+        self.counters.refused += 1
+        self._conclude(request)
+        request.viewer.refused(hold_off_ms)
+
+    def _fail(self, session: int) -> None:
+        request = self.requests.get(session)
+        if request is None or request.state is not State.OPEN:
+            return
+        if request.attempt is not None:
+            self._withdraw(request.attempt)
+            self.deadlines.cancel(request.attempt.deadline)
+            request.attempt = None
+        self.counters.failed += 1
+        self._conclude(request)
+        request.viewer.failed(request.last_outcome)
+
+    def _overdue(self, request: Request) -> None:
+        """Guards against a request held past its time, whatever the reason."""
+        request.guard = None
+        if request.state is State.OPEN:
+            holds(False, "answered before its time is up")
+            self._fail(request.handle)
+            self.tell(api.ViewerLeft(request.handle))
+
+    # Sessions that stand
+
+    def _stand(self, request: Request, server: int) -> None:
+        request.state, request.server = State.STANDS, server
+        self.standing.setdefault(server, {})[request.handle] = request
+
+    def session_over(self, request: Request, outcome: Outcome, report: api.LoadReport | None = None) -> None:
+        """The box has released it.  Repeated releases find nothing that stands."""
+        if request.state is State.STANDS:
+            self._end(request, outcome, report, tell_box=False, tell_viewer=outcome is not Outcome.CANCELLED)
+
+    def cut(self, request: Request) -> None:
+        """The box that it plays at is lost; should it live, it is told."""
+        if request.state is State.STANDS:
+            self.counters.cut += 1
+            self._end(request, Outcome.RESET, None, tell_box=True, tell_viewer=True)
+
+    def cut_all(self, server: int) -> None:
+        for request in list(self.standing.get(server, {}).values()):
+            self.cut(request)
+
+    def _move(self, session: int) -> None:
+        request = self.requests.get(session)
+        if request is not None and request.state is State.STANDS:
+            self.counters.moved += 1
+            self._end(request, Outcome.CANCELLED, None, tell_box=True, tell_viewer=False)
+            request.viewer.moved()
+
+    def _end(self, request: Request, outcome: Outcome, report: api.LoadReport | None, tell_box: bool,
+             tell_viewer: bool) -> None:
+        server = request.server
+        assert server is not None
+        self.counters.ended += 1
+        self._drop(request)
+        at_server = self.standing.get(server, {})
+        at_server.pop(request.handle, None)
+        if not at_server:
+            self.standing.pop(server, None)
+        if tell_box:
+            request.boxes.release(request, CAUSES[outcome])
+        if tell_viewer:
+            request.viewer.released(CAUSES.get(outcome, Cause.CUT))
+        self.tell(api.AttemptEnded(request.handle, request.attempts - 1, server, outcome, True,
+                                   to_us(self.clock.now() - request.taken_ms), report))
+
+    def _set_rung(self, session: int, rung: int) -> None:
+        request = self.requests.get(session)
+        if request is None or request.state is State.OVER:
+            return
+        top = min(request.ask.ceiling, request.kind.top, len(self.settings.ladder_kb) - 1)
+        request.rung = max(request.kind.floor, min(rung, top))
+        if request.state is State.STANDS:
+            request.boxes.set_rung(request, request.rung)
+
+    def note(self, request: Request, event: api.Event) -> None:
+        if request.state is State.STANDS:
+            self.tell(event)
+
+    # Boxes
+
+    def fleet(self, kind: api.ListKind, listings: Iterable[api.ServerListing]) -> None:
+        """A list of boxes, or a change of it."""
+        told = tuple(listings)
+        lost: set[int] = set()
+        if kind is not api.ListKind.DELTA:
+            lost = self.listings.keys() - {one.server for one in told}
+        for one in told:
+            if one.health is Health.GONE:
+                lost.add(one.server)
+            else:
+                self.listings[one.server] = one
+        for server in lost:
+            self.listings.pop(server, None)
+        self.tell(api.FleetUpdate(kind, told))
+        for server in lost:
+            self.cut_all(server)
+
+    def probed(self, server: int, outcome: Outcome, took_ms: float, report: api.LoadReport | None) -> None:
+        self.tell(api.ProbeEnded(server, outcome, to_us(took_ms), report))
