--- /dev/null
+++ b/cloverhinge/config.py
@@ -0,0 +1,68 @@
+"""What the platform tells a stream router at its start."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from cloverhinge.decision import interface as api
+from cloverhinge.net.changelog import Change, address, parse_event
+from cloverhinge.settings import parse_settings
+
+
+class ConfigError(Exception):
+    """One plain sentence on what is wrong with the configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    memory_mb: int
+    sockets: int
+    changelog: tuple[str, int]
+    seq: int
+    known: tuple[Change, ...]
+    settings: api.Settings
+    connect_ms: float
+    idle_ms: float
+
+
+def read(path: str, listen: str | None = None) -> Config:
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"{path} can't be read: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path} is not JSON: {error}") from None
+    try:
+        return parse(told, listen)
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def parse(told: dict[str, Any], listen: str | None = None) -> Config:
+    limits, settings, known = told.get("limits") or {}, told["settings"], told.get("known") or {}
+    changes = [parse_event(event) for event in known.get("results") or []]
+    rules = settings.get("limits") or {}
+    return Config(
+        name=str(told.get("name") or ""), listen=address(listen or told["listen"]),
+        seed=int(str(told.get("seed") or "0"), 16), memory_mb=int(limits.get("memory_mb", 192)),
+        sockets=int(limits.get("sockets", 1024)), changelog=address(told["changelog"]),
+        seq=int(known.get("seq", 0)), known=tuple(change for change in changes if change is not None),
+        settings=parse_settings(settings), connect_ms=float(rules.get("connectTimeoutUs") or 250_000) / 1000,
+        idle_ms=float(rules.get("connIdleUs") or 30_000_000) / 1000)
+
+
+def from_environment(environment: Mapping[str, str] = os.environ) -> Config:
+    path = environment.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG names no configuration")
+    return read(path, environment.get("LB_LISTEN"))
--- /dev/null
+++ b/cloverhinge/net/changelog.py
@@ -0,0 +1,190 @@
+"""The list of boxes: its events as JSON, and the change log that brings later ones."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.logger import Logger
+from twisted.python.failure import Failure
+
+from cloverhinge.core.deadlines import Deadlines, Key
+from cloverhinge.decision import interface as api
+from cloverhinge.net.buffered import BufferedReceiver
+
+HEALTH = {"active": api.Health.READY, "leaving": api.Health.DRAINING, "left": api.Health.GONE}
+SILENT_MS = 2200.0  # a heartbeat comes each second; so long without one is silence
+CONNECT_MS = 700.0
+BACKOFF_MS = (50.0, 1000.0)
+LINE_MAX = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Box:
+    """Where a listed box is reached."""
+
+    number: int
+    name: str
+    host: str
+    port: int
+
+
+def number_of(name: str) -> int:
+    """The module's number for a box: alike at every router, as it picks a title's first holder by it."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big")
+
+
+def address(text: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no host:port")
+    return host, int(port)
+
+
+def parse_instance(row: dict[str, Any]) -> tuple[Box, api.ServerListing]:
+    name = str(row["instanceId"])
+    host, port = address(str(row["hostPort"]))
+    number = number_of(name)
+    weight = row.get("weight")
+    listing = api.ServerListing(
+        server=number, cell=int(row.get("cell") or 0), zone=str(row.get("zone") or ""),
+        kind=str(row.get("machineType") or ""), health=HEALTH[str(row["lifecycle"])],
+        weight=1.0 if weight is None else float(weight),
+        started_us=round(float(row.get("startedAtMs") or 0) * 1000.0))
+    return Box(number, name, host, port), listing
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    seq: int
+    full: bool
+    rows: tuple[tuple[Box, api.ServerListing], ...]
+
+
+def parse_event(event: Any) -> Change | None:
+    """None for a kind of event that this version does not know."""
+    if not isinstance(event, dict) or not isinstance(event.get("seq"), int):
+        raise ValueError("an event has a number")
+    fleet = event.get("fleet")
+    if fleet is None:
+        return None
+    if not isinstance(fleet, dict) or not isinstance(fleet.get("instances"), list):
+        raise ValueError("a list has instances")
+    try:
+        rows = tuple(parse_instance(row) for row in fleet["instances"])
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"an instance is malformed: {error!r}") from error
+    return Change(event["seq"], bool(fleet.get("reset")), rows)
+
+
+class ChangeLogLine(BufferedReceiver):
+    MAX_LENGTH = LINE_MAX
+    delimiter = b"\n"
+
+    def __init__(self, follower: ChangeLog) -> None:
+        super().__init__()
+        self.follower = follower
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.follower.connected(self)
+
+    def lineReceived(self, line: bytes) -> None:
+        if line.strip():
+            self.follower.heard(self, line)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.gone = True
+        self.follower.lost(self)
+
+
+class ChangeLog(ClientFactory):
+    """Follows the change log for good: resumes after the last event it has, takes silence for a break."""
+
+    log = Logger()
+    noisy = False
+
+    def __init__(self, reactor: Any, where: tuple[str, int], seq: int, deadlines: Deadlines,
+                 tell: Callable[[Change], None], rng: random.Random) -> None:
+        self.reactor, self.where, self.seq = reactor, where, seq
+        self.deadlines, self.tell, self.rng = deadlines, tell, rng
+        self.line: ChangeLogLine | None = None
+        self.connector: Any = None
+        self.watch: Key | None = None
+        self.backoff_ms = BACKOFF_MS[0]
+        self.stopped = False
+
+    def start(self) -> None:
+        if self.stopped:
+            return
+        self.watch = self.deadlines.after(CONNECT_MS, self.silent)
+        self.connector = self.reactor.connectTCP(*self.where, self, timeout=30)
+
+    def stop(self) -> None:
+        self.stopped = True
+        self.deadlines.cancel(self.watch)
+        if self.connector is not None:
+            self.connector.disconnect()
+
+    def buildProtocol(self, addr: Any) -> ChangeLogLine:
+        return ChangeLogLine(self)
+
+    def connected(self, line: ChangeLogLine) -> None:
+        self.line = line
+        line.send(f"since {self.seq}\n".encode())
+        self._watch()
+
+    def _watch(self) -> None:
+        self.deadlines.cancel(self.watch)
+        self.watch = self.deadlines.after(SILENT_MS, self.silent)
+
+    def silent(self) -> None:
+        """Guards against a log that stands still on an open connection, or never takes a new one."""
+        self.watch = None
+        self.log.info("change log: silent, connecting anew after event {seq}", seq=self.seq)
+        if self.line is not None:
+            self.line.drop()
+        elif self.connector is not None:
+            self.connector.stopConnecting()
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self._again()
+
+    def lost(self, line: ChangeLogLine) -> None:
+        if self.line is line:
+            self.line = None
+            self._again()
+
+    def _again(self) -> None:
+        self.deadlines.cancel(self.watch)
+        if not self.stopped:
+            self.deadlines.after(self.backoff_ms * self.rng.uniform(0.7, 1.0), self.start)
+            self.backoff_ms = min(self.backoff_ms * 2, BACKOFF_MS[1])
+
+    def heard(self, line: ChangeLogLine, text: bytes) -> None:
+        if line is not self.line:
+            return
+        try:
+            value = json.loads(text)
+            change = None if isinstance(value, int) else parse_event(value)
+        except ValueError as error:
+            self.log.error("change log: {error}", error=str(error)[:200])
+            line.drop()
+            return
+        self._watch()
+        self.backoff_ms = BACKOFF_MS[0]
+        last = value if isinstance(value, int) else value["seq"]
+        if isinstance(value, int):
+            if last > self.seq:  # events are missing: ask for them again
+                line.drop()
+            return
+        if last <= self.seq:
+            return
+        self.seq = last
+        if change is not None:
+            self.tell(change)
--- /dev/null
+++ b/cloverhinge/net/front.py
@@ -0,0 +1,193 @@
+"""The platform's front: viewers' set-ups over RTSP."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import ServerFactory, connectionDone
+from twisted.logger import Logger
+from twisted.python.failure import Failure
+
+from cloverhinge.core.clock import Clock
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.core.model import Ask, Boxes, Cause, Request, State
+from cloverhinge.core.router import Router
+from cloverhinge.core.slots import Table
+from cloverhinge.decision.interface import Outcome
+from cloverhinge.net import rtsp
+from cloverhinge.net.changelog import number_of
+
+SWEEP_MS = 1000.0
+PARTIAL_MS = 10_000.0  # a message that is not whole after so long never will be
+HELD_MS = 8000.0  # a release waits so long for a connection of its viewers
+HELD_MOST = 2048
+BUSY_HOLD_OFF_MS = 1000.0  # told where every slot for requests is taken
+
+
+def read_ask(message: rtsp.Message) -> tuple[Ask, str]:
+    """The request, and the id of the pump that it plays at already ('' = none)."""
+    if not rtsp.SESSION.fullmatch(message.session):
+        raise rtsp.Malformed("no session")
+    if not message.uri.startswith("rtsp://media/") or not message.uri[13:]:
+        raise rtsp.Malformed("no title")
+    told = rtsp.pairs(message.headers.get("x-dest", ""))
+
+    def whole(name: str, default: int) -> int:
+        text = told.get(name, str(default))
+        if not text.isascii() or not text.isdigit() or len(text) > 9:
+            raise rtsp.Malformed(f"{name} is no number")
+        return int(text)
+
+    ask = Ask(
+        name=message.session, class_name=message.headers.get("x-call-class", ""), title=message.uri[13:],
+        first_cell=whole("home", 0), copies=whole("copies", 0), ceiling=whole("top", 255),
+        wait_ms=message.number("x-ring-limit", 0.0 if "at" in told else None), body=message.body,
+        length_ms=message.number("x-guess", 0.0), viewer=told.get("viewer", ""),
+        returning=message.headers.get("x-again") == "1" or told.get("again") == "1")
+    return ask, told.get("at", "")
+
+
+class ViewerLine(rtsp.RtspProtocol):
+    """One connection of viewers."""
+
+    def __init__(self, front: Front, peer: str) -> None:
+        super().__init__()
+        self.front, self.peer = front, peer
+        self.handle = 0
+        self.open: dict[str, Request] = {}  # set-ups that are owed an answer here
+        self.heard_ms = 0.0
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.front.up(self)
+
+    def received(self, message: rtsp.Message) -> None:
+        self.heard_ms = self.front.clock.now()
+        cseq, name = message.headers.get("cseq", "0"), message.session
+        if message.status:
+            return  # a viewer heard a release
+        if message.method == "SETUP":
+            self.front.set_up(self, message)
+        elif message.method == "TEARDOWN":
+            self.send(rtsp.response(200, cseq, name))
+            request = self.front.router.by_name.get(name)
+            if request is not None and isinstance(request.viewer, RtspViewer):
+                self.front.router.leave(request)
+        elif message.method == "OPTIONS":
+            self.send(rtsp.response(200 if self.front.ready else 503, cseq, name))
+        else:
+            raise rtsp.Malformed("unknown method", 501)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.gone = True
+        self.front.down(self)
+
+
+class RtspViewer:
+    """The core's `Viewer` for one session asked for over RTSP."""
+
+    def __init__(self, front: Front, line: ViewerLine, name: str) -> None:
+        self.front, self.handle, self.peer, self.name = front, line.handle, line.peer, name
+
+    def _answer(self, status: int, fields: dict[str, str] | None = None, body: bytes = b"") -> None:
+        line = self.front.lines.get(self.handle)
+        if line is not None:
+            line.open.pop(self.name, None)
+            line.send(rtsp.response(status, "1", self.name, fields, body))
+
+    def served(self, answer: bytes) -> None:
+        self._answer(200, None, answer)
+
+    def refused(self, hold_off_ms: float) -> None:
+        self._answer(503, {"X-Hold-Off": str(round(hold_off_ms))} if hold_off_ms > 0 else None)
+
+    def failed(self, why: Outcome | None) -> None:
+        self._answer(504 if why is Outcome.TIMEOUT else 500)
+
+    def released(self, cause: Cause) -> None:
+        self.front.tell(self, rtsp.request("TEARDOWN", "rtsp://media/session", 2, self.name,
+                                           {"Reason": f"cause={cause.value}"}))
+
+    def moved(self) -> None:
+        self.front.tell(self, rtsp.request("REDIRECT", "rtsp://media/session", 5, self.name))
+
+
+class Front(ServerFactory):
+    log = Logger()
+    noisy = False
+
+    def __init__(self, router: Router, boxes: Boxes, clock: Clock, deadlines: Deadlines, most: int) -> None:
+        self.router, self.boxes, self.clock, self.deadlines = router, boxes, clock, deadlines
+        self.lines: Table[ViewerLine] = Table(most)
+        self.held: deque[tuple[float, bytes]] = deque(maxlen=HELD_MOST)
+        self.ready = True
+
+    def start(self) -> None:
+        self._sweep()
+
+    def buildProtocol(self, addr: IAddress | None) -> ViewerLine:
+        return ViewerLine(self, str(getattr(addr, "host", "")))
+
+    def up(self, line: ViewerLine) -> None:
+        line.heard_ms = self.clock.now()
+        if self.lines.full:
+            # Guards the descriptors: the longest idle connection without an open set-up makes room.
+            idle = min((x for x in self.lines if not x.open), key=lambda x: x.heard_ms, default=None)
+            if idle is None:
+                line.drop()
+                return
+            self.lines.free(idle.handle)
+            idle.close()
+        line.handle = self.lines.put(line)
+        while self.held:
+            line.send(self.held.popleft()[1])
+
+    def down(self, line: ViewerLine) -> None:
+        if line.handle:
+            self.lines.free(line.handle)
+        for request in list(line.open.values()):
+            if request.state is State.OPEN:
+                self.router.leave(request)
+        line.open.clear()
+
+    def set_up(self, line: ViewerLine, message: rtsp.Message) -> None:
+        ask, at = read_ask(message)
+        if ask.class_name not in self.router.classes:
+            raise rtsp.Malformed("unknown class", 400)
+        viewer = RtspViewer(self, line, ask.name)
+        if at:
+            self.router.carry(ask, number_of(at), viewer, self.boxes)
+        elif ask.name in self.router.by_name:
+            line.send(rtsp.response(455, "1", ask.name))
+        elif (request := self.router.take(ask, viewer, self.boxes)) is None:
+            line.send(rtsp.response(503, "1", ask.name, {"X-Hold-Off": str(round(BUSY_HOLD_OFF_MS))}))
+        elif request.state is State.OPEN:
+            line.open[ask.name] = request
+
+    def tell(self, viewer: RtspViewer, data: bytes) -> None:
+        """Towards whoever holds the session: on its connection, else on one of its host, else on any."""
+        line = self.lines.get(viewer.handle)
+        if line is None or line.gone:
+            live = [x for x in self.lines if not x.gone]
+            line = next((x for x in live if x.peer == viewer.peer), live[0] if live else None)
+        if line is not None:
+            line.send(data)
+        else:
+            self.held.append((self.clock.now(), data))
+
+    def _sweep(self) -> None:
+        now = self.clock.now()
+        while self.held and now - self.held[0][0] > HELD_MS:
+            self.held.popleft()
+        for line in self.lines:
+            if line.midway and now - line.heard_ms > PARTIAL_MS:
+                line.drop()
+        self.deadlines.after(SWEEP_MS, self._sweep)
+
+    def close(self) -> None:
+        for line in self.lines:
+            transport: Any = line.transport
+            if transport is not None:
+                line.close()
--- /dev/null
+++ b/cloverhinge/node.py
@@ -0,0 +1,115 @@
+"""One stream router: builds the parts from the configuration, starts them, and ends them in order."""
+
+from __future__ import annotations
+
+import gc
+import random
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import reactor as _reactor
+from twisted.logger import Logger, globalLogBeginner, textFileLogObserver
+
+from cloverhinge.config import Config
+from cloverhinge.core.clock import Clock
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.core.router import Router
+from cloverhinge.decision import interface as api
+from cloverhinge.net.changelog import Box, Change, ChangeLog
+from cloverhinge.net.front import Front
+from cloverhinge.net.pumps import Pumps
+
+ACCEPT_AFTER_TERM_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
+FLUSH_MS = 150.0  # for what has been written at the end to leave
+BACKLOG = 256
+
+reactor: Any = _reactor
+
+
+class Node:
+    log = Logger()
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.clock = Clock()
+        self.deadlines = Deadlines(self.clock, reactor.callLater)
+        self.router = Router(config.settings, config.seed, self.clock, self.deadlines)
+        self.pumps = Pumps(reactor, self.router, self.clock, self.deadlines, config.connect_ms,
+                           config.idle_ms)
+        self.front = Front(self.router, self.pumps, self.clock, self.deadlines, most=config.sockets // 2)
+        self.boxes: dict[int, Box] = {}
+        self.changelog = ChangeLog(reactor, config.changelog, config.seq, self.deadlines, self.change,
+                                   random.Random(config.seed))
+        self.stopping = False
+        self.port: Any = None
+
+    def start(self) -> None:
+        for at, change in enumerate(self.config.known):
+            self.change(change, api.ListKind.CACHED if at == 0 else None)
+        self.changelog.start()
+        self.pumps.start()
+        self.front.start()
+        host, port = self.config.listen
+        self.port = reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        self.log.info("{name}: listening on {host}:{port}, {boxes} boxes known", name=self.config.name,
+                      host=host, port=self.port.getHost().port, boxes=len(self.boxes))
+
+    def change(self, change: Change, kind: api.ListKind | None = None) -> None:
+        """A list, or a change of one: the router first, as it says what may still be written to."""
+        kind = kind or (api.ListKind.FULL if change.full else api.ListKind.DELTA)
+        if kind is not api.ListKind.DELTA:
+            self.boxes = {}
+        for box, listing in change.rows:
+            self.boxes.pop(box.number, None)
+            if listing.health is not api.Health.GONE:
+                self.boxes[box.number] = box
+        self.router.fleet(kind, (listing for _, listing in change.rows))
+        self.pumps.list(self.boxes)
+
+    def terminate(self) -> None:
+        """SIGTERM: go on taking what still comes, answer all of it, then end."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.front.ready = False
+        self.log.info("{name}: told to end, {open} requests open", name=self.config.name,
+                      open=self.router.open)
+        self.deadlines.after(ACCEPT_AFTER_TERM_MS, self._finish)
+
+    def _finish(self) -> None:
+        self.port.stopListening()
+        self.router.on_open = self._when_answered
+        self._when_answered()
+
+    def _when_answered(self) -> None:
+        if self.router.open == 0:
+            self.router.on_open = lambda: None
+            self.deadlines.after(FLUSH_MS, reactor.stop)
+
+
+def serve(config: Config) -> int:
+    observer: Any = textFileLogObserver(sys.stderr)
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
+    node = Node(config)
+    failures: list[BaseException] = []
+
+    def guarded(call: Callable[[], None]) -> None:
+        try:
+            call()
+        except Exception as error:
+            failures.append(error)
+            Node.log.failure("could not start")
+            reactor.stop()
+
+    def begin() -> None:
+        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(node.terminate))
+        signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(node.terminate))
+        guarded(node.start)
+        gc.collect()
+        gc.freeze()  # what was built for good need not be walked again
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    return 1 if failures else 0
