The HLS front: manifests rewritten per session, on the core's decisions and rules

A play id is the idempotency key; a set-up goes to the media box over HTTP, its manifest comes back capped at the rung in force, playlists signed and led through the router, the rest straight to the box.

--- a/cloverhinge/cli.py
+++ b/cloverhinge/cli.py
@@ -1,8 +1,8 @@
 """A stream router for small sites.
 
 Usage:
-  cloverhinge serve
-  cloverhinge check [CONFIG]
+  cloverhinge serve [--site FILE]
+  cloverhinge check [CONFIG] [--site FILE]
   cloverhinge version
   cloverhinge (-h | --help)
 
@@ -10,15 +10,23 @@
   serve    Run the router.  LB_CONFIG names its configuration, LB_LISTEN where it listens.
   check    Read a configuration (that of LB_CONFIG, unless named) and say what is wrong with it.
   version  Print the version.
+
+Options:
+  --site FILE  The site's own file, which turns the HLS front on.  [default: deploy/site.toml]
+               The default may be missing: then the platform's front stands alone.
+  -h --help    Show this text.
 """
 
 from __future__ import annotations
 
 import sys
+from pathlib import Path
 
 from docopt import docopt
 
-from cloverhinge import __version__, config
+from cloverhinge import __version__, config, site
+
+DEFAULT_SITE = "deploy/site.toml"
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -28,6 +36,8 @@
         return 0
     try:
         told = config.read(chosen["CONFIG"]) if chosen["CONFIG"] else config.from_environment()
+        path = Path(chosen["--site"])
+        around = site.read(path) if path.exists() or chosen["--site"] != DEFAULT_SITE else site.Site()
     except config.ConfigError as error:
         print(f"cloverhinge: {error}", file=sys.stderr)
         return 2
@@ -35,7 +45,9 @@
         boxes = {box.name for change in told.known for box, _ in change.rows}
         print(f"{told.name or 'unnamed'}: {len(told.settings.classes)} classes, {len(boxes)} boxes named, "
               f"listening on {told.listen[0]}:{told.listen[1]}")
+        print("HLS front: off" if around.hls is None else
+              f"HLS front: on {around.hls.listen[0]}:{around.hls.listen[1]}, {len(around.hls.titles)} titles")
         return 0
     from cloverhinge.node import serve  # starts Twisted's reactor, which the other commands don't need
 
-    return serve(told)
+    return serve(told, around)
--- /dev/null
+++ b/cloverhinge/hls/boxes.py
@@ -0,0 +1,298 @@
+"""Towards the media boxes' HTTP side: set-ups, releases, rungs and manifests.
+
+    PUT /sessions/ID      {"class", "title", "rung", "wait_ms"}: 200 and a manifest when the session stands
+    GET /sessions/ID      its manifest as it is now
+    PATCH /sessions/ID    {"rung"}
+    DELETE /sessions/ID   given up, or over
+
+A refusal of a set-up: 503 when the box turned it away before anything ran, 504 when it broke on its way; any
+other status is an error after which it may have run.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+from urllib.parse import urlsplit
+
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.logger import Logger
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from zope.interface import implementer
+
+from cloverhinge.core.deadlines import Deadlines, Key
+from cloverhinge.core.model import Attempt, Cause, Request
+from cloverhinge.core.router import Router
+from cloverhinge.decision.interface import Outcome
+from cloverhinge.hls import manifests
+from cloverhinge.net.changelog import Box
+
+FETCH_MS = 1500.0
+RELEASE_TRIES = 4
+RELEASE_PAUSE_MS = 250.0
+RELEASES_MOST = 512
+BODY_MOST = 16 * 1024  # of answers that hold no manifest
+REFUSALS = {503: Outcome.FULL, 504: Outcome.RESET}
+
+
+class NotSent(Exception):
+    """The attempt ended before its first byte was written."""
+
+
+class TooLong(Exception):
+    """An answer is longer than this router reads."""
+
+
+class Late(Exception):
+    """The box took too long."""
+
+
+class Gone(Exception):
+    """The box doesn't hold the session."""
+
+
+class Unusable(Exception):
+    """The box gave no answer that can be used."""
+
+
+@implementer(IStreamClientEndpoint)
+class _Checked:
+    """Asks `check` between the connection and the first byte on it."""
+
+    def __init__(self, endpoint: Any, check: Callable[[], bool]) -> None:
+        self.endpoint, self.check = endpoint, check
+
+    def connect(self, factory: Any) -> Any:
+        return self.endpoint.connect(factory).addCallback(self._connected)
+
+    def _connected(self, protocol: Any) -> Any:
+        if not self.check():
+            protocol.transport.abortConnection()
+            raise NotSent
+        return protocol
+
+
+@implementer(IAgentEndpointFactory)
+class _Endpoints:
+    def __init__(self, reactor: Any, connect_ms: float, check: Callable[[], bool]) -> None:
+        self.reactor, self.connect_ms, self.check = reactor, connect_ms, check
+
+    def endpointForURI(self, uri: Any) -> Any:
+        target = TCP4ClientEndpoint(self.reactor, uri.host.decode(), uri.port, self.connect_ms / 1000.0)
+        return _Checked(target, self.check)
+
+
+@implementer(IBodyProducer)
+class _Json:
+    """A short body, written in one piece."""
+
+    def __init__(self, told: dict[str, Any]) -> None:
+        self.data = json.dumps(told).encode()
+        self.length = len(self.data)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:
+        consumer.write(self.data)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:
+        pass
+
+    def resumeProducing(self) -> None:
+        pass
+
+    def stopProducing(self) -> None:
+        pass
+
+
+class _Body(Protocol):
+    """Reads a body of at most so many bytes."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.data = most, bytearray()
+        self.done: Deferred[bytes] = Deferred(lambda _: self.abort())
+
+    def abort(self) -> None:
+        transport: Any = self.transport
+        if transport is not None and getattr(transport, "abortConnection", None):
+            transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        self.data += data
+        if len(self.data) > self.most and not self.done.called:
+            self.done.errback(TooLong())
+            self.abort()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if not self.done.called:
+            if isinstance(reason.value, ResponseDone):
+                self.done.callback(bytes(self.data))
+            else:
+                self.done.errback(reason)  # cut short: what was read is not whole
+
+
+class HlsBoxes:
+    """The core's `Boxes` over HTTP."""
+
+    log = Logger()
+
+    def __init__(self, reactor: Any, router: Router, deadlines: Deadlines, connect_ms: float,
+                 boxes: dict[int, Box], port: int, named: dict[str, tuple[str, int]], most: int) -> None:
+        self.reactor, self.router, self.deadlines, self.connect_ms = reactor, router, deadlines, connect_ms
+        self.boxes, self.port, self.named, self.most = boxes, port, named, most
+        self.pool = HTTPConnectionPool(reactor, persistent=True)
+        self.pool.maxPersistentPerHost, self.pool.cachedConnectionTimeout = 4, 10
+        endpoints = _Endpoints(reactor, connect_ms, lambda: True)
+        self.agent = Agent.usingEndpointFactory(reactor, endpoints, self.pool)
+        self.out: dict[Attempt, Deferred[None] | None] = {}
+        self.releasing = 0
+
+    def base(self, server: int) -> str | None:
+        box = self.boxes.get(server)
+        if box is None:
+            return None
+        host, port = self.named.get(box.name, (box.host, self.port))
+        return f"http://{host}:{port}/"
+
+    async def _ask(self, agent: Any, method: str, url: str, told: dict[str, Any] | None, most: int,
+                   ) -> tuple[int, bytes]:
+        body = None if told is None else _Json(told)
+        headers = Headers({b"User-Agent": [b"cloverhinge"]})
+        if told is not None:
+            headers.addRawHeader(b"Content-Type", b"application/json")
+        response = await agent.request(method.encode(), url.encode(), headers, body)
+        reader = _Body(most)
+        response.deliverBody(reader)
+        return response.code, await reader.done
+
+    def _limited(self, work: Any, ms: float) -> Deferred[Any]:
+        """Run it as a Deferred that is cancelled after so long."""
+        deferred: Deferred[Any] = ensureDeferred(work)
+        late: list[bool] = []
+
+        def expire() -> None:
+            late.append(True)
+            deferred.cancel()
+
+        key: Key = self.deadlines.after(ms, expire)
+
+        def stop(result: Any) -> Any:
+            self.deadlines.cancel(key)
+            if late and isinstance(result, Failure):
+                raise Late
+            return result
+
+        return deferred.addBoth(stop)
+
+    # Boxes
+
+    def set_up(self, attempt: Attempt) -> None:
+        self.out[attempt] = None
+        work = ensureDeferred(self._set_up(attempt))
+        if attempt in self.out:
+            self.out[attempt] = work
+
+    async def _set_up(self, attempt: Attempt) -> None:
+        request, ask = attempt.request, attempt.request.ask
+        base = self.base(attempt.server)
+        try:
+            if base is None:
+                raise NotSent
+            url = f"{base}sessions/{ask.name}"
+            wait_ms = max(1, round(attempt.until_ms - self.deadlines.clock.now()))
+            told = {"class": ask.class_name, "title": ask.title, "wait_ms": wait_ms,
+                    "rung": request.kind.floor if request.rung is None else request.rung}
+            # A connection of its own, never one of the pool: one that the box has closed meanwhile would
+            # leave open whether the set-up ran.
+            endpoints = _Endpoints(self.reactor, self.connect_ms, lambda: self.router.may_write(attempt))
+            agent = Agent.usingEndpointFactory(self.reactor, endpoints)
+            status, body = await self._ask(agent, "PUT", url, told, self.most)
+            if status != 200:
+                self.router.attempt_ended(attempt, REFUSALS.get(status, Outcome.ERROR))
+                return
+            manifest = manifests.parse(body, self.most)
+            manifests.rewrite(manifest, url, lambda n: "", float("inf"))
+            if not self.router.answered(attempt, body):
+                self._release(attempt.server, ask.name)
+        except NotSent:
+            self.router.attempt_ended(attempt, Outcome.MOOT)
+        except (manifests.BadManifest, TooLong) as error:
+            # It stands at the box, but nobody can play it.
+            self.log.warn("box {box}: {error}", box=attempt.server, error=str(error) or "manifest too long")
+            self.router.attempt_ended(attempt, Outcome.ERROR)
+            self._release(attempt.server, ask.name)
+        except Exception as error:  # whatever became of the connection
+            if attempt not in self.out:
+                return  # given up, which broke it off: `give_up` has told the box
+            self.log.info("box {box}: set-up broke: {error}", box=attempt.server, error=repr(error)[:200])
+            self.router.attempt_ended(
+                attempt, Outcome.RESET if attempt.written else Outcome.CONNECT_FAILED)
+            if attempt.written:
+                self._release(attempt.server, ask.name)
+        finally:
+            self.out.pop(attempt, None)
+
+    def give_up(self, attempt: Attempt) -> None:
+        work = self.out.pop(attempt, None)
+        if work is not None:
+            work.cancel()
+        if attempt.written:
+            self._release(attempt.server, attempt.request.ask.name)
+
+    def release(self, request: Request, cause: Cause) -> None:
+        if request.server is not None:
+            self._release(request.server, request.ask.name)
+
+    def _release(self, server: int, name: str) -> None:
+        base = self.base(server)
+        if base is not None and self.releasing < RELEASES_MOST:
+            self.releasing += 1
+            self._limited(self._delete(f"{base}sessions/{name}"), 8000.0).addBoth(self._released)
+
+    def _released(self, result: Any) -> None:
+        self.releasing -= 1
+
+    async def _delete(self, url: str) -> None:
+        for tried in range(RELEASE_TRIES):
+            try:
+                asked = self._ask(self.agent, "DELETE", url, None, BODY_MOST)
+                status, _ = await self._limited(asked, FETCH_MS)
+                if status < 500:
+                    return
+            except Exception as error:
+                self.log.info("release of {url}: {error}", url=url, error=repr(error)[:200])
+            pause: Deferred[None] = Deferred()
+            self.deadlines.after(RELEASE_PAUSE_MS * 2 ** tried, partial(pause.callback, None))
+            await pause
+
+    def set_rung(self, request: Request, rung: int) -> None:
+        base = self.base(request.server or 0)
+        if base is not None:
+            url = f"{base}sessions/{request.ask.name}"
+            asked = self._ask(self.agent, "PATCH", url, {"rung": rung}, BODY_MOST)
+            self._limited(asked, FETCH_MS).addErrback(
+                lambda failure: self.log.info("rung: {error}", error=repr(failure.value)[:200]))
+
+    # Manifests
+
+    async def fetch(self, url: str) -> manifests.Manifest:
+        """A manifest as it is now; raises `Gone`, `Unusable`, `BadManifest`, or `Late`."""
+        try:
+            status, body = await self._limited(self._ask(self.agent, "GET", url, None, self.most), FETCH_MS)
+        except (TooLong, Late):
+            raise
+        except Exception as error:
+            raise Unusable(f"{urlsplit(url).netloc}: {error!r}"[:200]) from None
+        if status in (404, 410):
+            raise Gone
+        if status != 200:
+            raise Unusable(f"{urlsplit(url).netloc}: status {status}")
+        return manifests.parse(body, self.most)
+
--- /dev/null
+++ b/cloverhinge/hls/front.py
@@ -0,0 +1,217 @@
+"""The HLS front: players' fetches over HTTP, answered with manifests rewritten for their sessions.
+
+    GET /play/CLASS/TITLE?play=ID            the session's manifest; sets the session up where none stands
+    GET /session/TOKEN/N/SIGNATURE.m3u8      the N-th media playlist that the manifest named
+    GET /.well-known/acme-challenge/TOKEN    answers of the certificate authority's challenges
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import math
+import re
+import secrets
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from twisted.internet.defer import ensureDeferred
+from twisted.logger import Logger
+from twisted.protocols.policies import WrappingFactory
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+from twisted.web.server import Request as HttpRequest
+
+from cloverhinge.core.router import Router
+from cloverhinge.decision.interface import Effect
+from cloverhinge.hls import boxes as media
+from cloverhinge.hls import manifests
+from cloverhinge.hls.boxes import HlsBoxes
+from cloverhinge.hls.plays import Final, Over, Play, Plays
+from cloverhinge.site import HlsSite
+
+PLAY_ID = re.compile(r"[A-Za-z0-9._~-]{8,128}")
+IDLE_CONNECTION_S = 60
+BODY_MOST = 16 * 1024
+Answer = tuple[int, str, str, dict[str, str]]  # status, text, its type, further fields
+
+
+class BoundedRequest(HttpRequest):
+    """Reads no more of a body than a message may hold; no fetch of this front needs one."""
+
+    def gotLength(self, length: int | None) -> None:
+        if length is None or length > BODY_MOST:
+            transport: Any = self.channel.transport
+            transport.abortConnection()
+            length = 0
+        super().gotLength(length)  # type: ignore[no-untyped-call]
+
+
+class Limited(WrappingFactory):
+    """Holds a bounded number of connections; over it, a new one is closed at once."""
+
+    noisy = False
+
+    def __init__(self, wrapped: Any, most: int) -> None:
+        super().__init__(wrapped)  # type: ignore[no-untyped-call]
+        self.most = most
+
+    def buildProtocol(self, addr: Any) -> Any:
+        return None if len(self.protocols) >= self.most else super().buildProtocol(addr)
+
+
+def factory(front: Front, most: int) -> Limited:
+    site = Site(front, requestFactory=BoundedRequest, timeout=IDLE_CONNECTION_S)
+    site.noisy = False
+    return Limited(site, most)
+
+
+class Front(Resource):
+    isLeaf = True
+    log = Logger()
+
+    def __init__(self, site: HlsSite, router: Router, boxes: HlsBoxes, plays: Plays,
+                 challenge: Callable[[str], str | None] = lambda token: None) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.site, self.router, self.boxes, self.plays, self.challenge = site, router, boxes, plays, challenge
+
+    def render(self, request: Any) -> Any:
+        if request.method != b"GET":
+            request.setHeader(b"Allow", b"GET")
+            self._write(request, 405, "only GET is served here\n", "text/plain")
+            return NOT_DONE_YET
+        gone: list[bool] = []
+        request.notifyFinish().addErrback(lambda _: gone.append(True))
+        answer = ensureDeferred(self._answer(request))
+
+        def write(result: Answer) -> None:
+            if not gone:
+                self._write(request, *result)
+
+        def broken(failure: Any) -> None:
+            self.log.failure("a fetch failed", failure=failure)
+            if not gone:
+                self._write(request, 500, "internal error\n", "text/plain")
+
+        answer.addCallback(write).addErrback(broken)
+        return NOT_DONE_YET
+
+    def _write(self, request: Any, status: int, text: str, kind: str, fields: dict[str, str] | None = None,
+               ) -> None:
+        request.setResponseCode(status)
+        for name, value in {"Content-Type": kind, "Cache-Control": "no-store",
+                            "Access-Control-Allow-Origin": self.site.allow_origin, **(fields or {})}.items():
+            request.setHeader(name.encode(), value.encode())
+        data = text.encode()
+        request.setHeader(b"Content-Length", str(len(data)).encode())
+        request.write(data)
+        request.finish()
+
+    async def _answer(self, request: Any) -> Answer:
+        try:
+            parts = [part.decode("ascii") for part in request.postpath]
+            match parts:
+                case ["play", class_name, title]:
+                    return await self._play(request, class_name, title)
+                case ["session", token, number, name]:
+                    return 200, await self._playlist(token, number, name), manifests.CONTENT_TYPE, {}
+                case [".well-known", "acme-challenge", token]:
+                    if (proof := self.challenge(token)) is not None:
+                        return 200, proof, "application/octet-stream", {}
+            raise Final(404, "nothing is here")
+        except UnicodeDecodeError:
+            return 400, "the path is not ASCII\n", "text/plain", {}
+        except Final as final:
+            fields = {}
+            if final.status == 503:
+                fields["Retry-After"] = str(max(1, math.ceil(final.retry_ms / 1000.0)))
+            return final.status, final.why + "\n", "text/plain", fields
+
+    async def _play(self, request: Any, class_name: str, title_name: str) -> Answer:
+        kind, title = self.router.classes.get(class_name), self.site.titles.get(title_name)
+        if kind is None or title is None or (title.classes and class_name not in title.classes):
+            raise Final(404, "no such class or title")
+        told = request.args.get(b"play", [])
+        if not told:
+            if kind.effect is not Effect.REPEATABLE:
+                raise Final(400, "a paid session needs a play id: ?play=ID")
+            # Under an id of its own, so that the player's next fetch finds this session again.
+            where = f"/play/{quote(class_name)}/{quote(title_name)}?play={secrets.token_hex(16)}"
+            return 302, "", "text/plain", {"Location": where}
+        key = told[0].decode("ascii", "replace")
+        if len(told) != 1 or not PLAY_ID.fullmatch(key):
+            raise Final(400, "a play id is 8 to 128 letters, digits, '.', '_', '~' or '-'")
+        play = self.plays.find(key, class_name, title_name, title)
+        self.plays.touch(play)
+        return 200, await self._session(play, None), manifests.CONTENT_TYPE, {}
+
+    def sign(self, token: str, number: int) -> str:
+        return hmac.new(self.site.key, f"{token}/{number}".encode(), hashlib.sha256).hexdigest()[:32]
+
+    async def _playlist(self, token: str, number: str, name: str) -> str:
+        if not re.fullmatch(r"[0-9]{1,3}", number) or not name.endswith(".m3u8"):
+            raise Final(404, "nothing is here")
+        if not hmac.compare_digest(name.removesuffix(".m3u8"), self.sign(token, int(number))):
+            raise Final(403, "this address was not signed here")
+        play = self.plays.by_token.get(token)
+        if play is None:
+            raise Final(410, "this session is over")
+        self.plays.touch(play)
+        return await self._session(play, int(number))
+
+    async def _session(self, play: Play, number: int | None) -> str:
+        """The play's manifest, or its n-th media playlist, rendered from the list of boxes as it is now."""
+        for _ in range(2):
+            try:
+                request = await self.plays.stand(play)
+                server, base = request.server or 0, self.boxes.base(request.server or 0) or ""
+                url = f"{base}sessions/{request.ask.name}"
+                if play.fresh is not None:
+                    play.manifest, play.fresh = manifests.parse(play.fresh, self.site.manifest_bytes), None
+                    top = play.manifest
+                elif play.manifest is None or not (play.manifest.master or number is not None):
+                    top = play.manifest = await self.boxes.fetch(url)
+                else:
+                    top = play.manifest  # a multivariant playlist stays as it is while the session stands
+                cap = self._cap(play, request.rung)
+                if number is not None:
+                    url = self._playlist_url(top, number, url, cap)
+                    top = await self.boxes.fetch(url)
+                if not top.master:
+                    play.media = top
+                    self.plays.touch(play)
+                # The fetch took a while: the box may have been told draining or gone since.
+                if play.request is request and self.router.sendable(server):
+                    return manifests.rewrite(top, url, lambda n: self._address(play, n), cap)
+            except Over:
+                return manifests.ended(play.media)
+            except media.Gone:
+                if play.request is not None:
+                    self.router.cut(play.request)
+            except (manifests.BadManifest, media.TooLong) as error:
+                raise Final(502, f"the box's manifest can't be used: {error}") from None
+            except media.Late:
+                raise Final(504, "the box gave no manifest in time") from None
+            except media.Unusable as error:
+                raise Final(502, str(error)) from None
+        if play.over:
+            return manifests.ended(play.media)
+        raise Final(503, "the session was lost", 1000.0)
+
+    def _cap(self, play: Play, rung: int | None) -> float:
+        """The highest rate in bits a second that may be named: that of the rung in force."""
+        kind, ladder = self.router.classes[play.class_name], self.router.settings.ladder_kb
+        return ladder[kind.floor if rung is None else rung] * kind.rate_scale * 8000.0 + 1.0
+
+    def _playlist_url(self, master: manifests.Manifest, number: int, url: str, cap: float) -> str:
+        """Where the n-th playlist lies; a variant over the rung in force gives way to the best under it."""
+        if number >= len(master.renditions):
+            raise Final(404, "the manifest names no such playlist")
+        wanted, allowed = master.renditions[number], master.allowed(cap)
+        if wanted not in allowed:
+            wanted = max((x for x in allowed if x.bandwidth is not None), key=lambda x: x.bandwidth or 0)
+        return manifests.absolute(wanted.uri, url)
+
+    def _address(self, play: Play, number: int) -> str:
+        return f"/session/{play.token}/{number}/{self.sign(play.token, number)}.m3u8"
--- /dev/null
+++ b/cloverhinge/hls/plays.py
@@ -0,0 +1,186 @@
+"""What a player wants, over all its fetches: one play, kept under the id that the player chose.
+
+The play id is the idempotency key.  A fetch joins the set-up that is under way, or gets what stands; only
+where the rules allow a set-up anew does it ask the core again.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from twisted.internet.defer import Deferred
+
+from cloverhinge.core.deadlines import Deadlines, Key
+from cloverhinge.core.model import Ask, Boxes, Cause, Request, State
+from cloverhinge.core.router import Router
+from cloverhinge.core.slots import Table
+from cloverhinge.decision.interface import Effect, Outcome
+from cloverhinge.hls import manifests
+from cloverhinge.site import Title
+
+PLAYS_MOST = 2048
+WAITERS_MOST = 64  # fetches that may wait for one set-up
+BUSY_MS = 1000.0
+
+
+class Final(Exception):
+    """A fetch ends without a manifest: its status, and when to come back."""
+
+    def __init__(self, status: int, why: str, retry_ms: float = 0.0) -> None:
+        super().__init__(why)
+        self.status, self.why, self.retry_ms = status, why, retry_ms
+
+
+class Over(Exception):
+    """The play has ended: its playlist ends."""
+
+
+@dataclass(eq=False)
+class Play:
+    key: str
+    class_name: str
+    title_name: str
+    title: Title
+    paid: bool
+    token: str = field(default_factory=lambda: secrets.token_hex(16))
+    handle: int = 0
+    request: Request | None = None  # the set-up under way, or the session that stands
+    fresh: bytes | None = None  # the set-up's manifest, until it is given out
+    manifest: manifests.Manifest | None = None  # the last one that the box gave for /play
+    media: manifests.Manifest | None = None  # the last media playlist
+    verdict: Final | None = None  # of a paid set-up that may have run: it stays
+    over: bool = False
+    waiters: list[Deferred[None]] = field(default_factory=list)
+    expiry: Key | None = None
+
+    def wake(self, error: Exception | None = None) -> None:
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            if error is None:
+                waiter.callback(None)
+            else:
+                waiter.errback(error)
+
+
+class PlayViewer:
+    """The core's `Viewer` for one set-up of a play."""
+
+    def __init__(self, plays: Plays, play: Play) -> None:
+        self.plays, self.play = plays, play
+        self.final: Exception | None = None
+
+    def served(self, answer: bytes) -> None:
+        self.play.fresh = answer
+        self.play.wake()
+
+    def refused(self, hold_off_ms: float) -> None:
+        self._unserved(Final(503, "no room now", max(hold_off_ms, BUSY_MS)))
+
+    def failed(self, why: Outcome | None) -> None:
+        late = why in (Outcome.TIMEOUT, None)
+        final = Final(504, "no answer in time") if late else Final(502, "the set-up failed")
+        if self.play.paid:
+            self.play.verdict = final  # a failed paid set-up may have run: no fetch starts another
+        self._unserved(final)
+
+    def _unserved(self, final: Final) -> None:
+        self.final = final
+        self.play.request = None
+        self.play.wake(final)
+
+    def released(self, cause: Cause) -> None:
+        self.play.request = None
+        self.play.over = self.play.paid or cause is Cause.ENDED
+
+    def moved(self) -> None:
+        self.play.request, self.play.over = None, self.play.paid
+
+
+class Plays:
+    def __init__(self, router: Router, boxes: Boxes, deadlines: Deadlines, idle_ms: float,
+                 new_name: Callable[[], str] = lambda: secrets.token_hex(8)) -> None:
+        self.router, self.boxes, self.deadlines, self.idle_ms = router, boxes, deadlines, idle_ms
+        self.new_name = new_name
+        self.table: Table[Play] = Table(PLAYS_MOST)
+        self.by_key: dict[str, Play] = {}
+        self.by_token: dict[str, Play] = {}
+
+    def find(self, key: str, class_name: str, title_name: str, title: Title) -> Play:
+        """The play of this id, new or held."""
+        play = self.by_key.get(key)
+        if play is not None:
+            if (play.class_name, play.title_name) != (class_name, title_name):
+                raise Final(409, "this play id is in use for another title")
+            return play
+        if self.table.full:
+            raise Final(503, "too many plays", BUSY_MS)
+        kind = self.router.classes[class_name]
+        play = Play(key, class_name, title_name, title, kind.effect is not Effect.REPEATABLE)
+        play.handle = self.table.put(play)
+        self.by_key[key] = self.by_token[play.token] = play
+        self.touch(play)
+        return play
+
+    def touch(self, play: Play) -> None:
+        """A fetch came: the play lasts for the idle time, and while a whole recording is being watched."""
+        ahead = play.media.duration_ms if play.media is not None and play.media.complete else 0.0
+        self.deadlines.cancel(play.expiry)
+        play.expiry = self.deadlines.after(self.idle_ms + ahead, lambda: self._expired(play))
+
+    def _expired(self, play: Play) -> None:
+        play.expiry = None
+        if play.request is not None and play.request.state is State.OPEN:
+            self.touch(play)  # an answer is still owed
+            return
+        if play.request is not None:
+            self.router.leave(play.request)
+        self.forget(play)
+
+    def forget(self, play: Play) -> None:
+        self.deadlines.cancel(play.expiry)
+        play.expiry = None
+        self.table.free(play.handle)
+        self.by_key.pop(play.key, None)
+        self.by_token.pop(play.token, None)
+
+    async def stand(self, play: Play) -> Request:
+        """The session that stands for this play, at a box that may be named; set up where it may be."""
+        for _ in range(3):  # what was set up may have to be set up elsewhere once
+            if play.over:
+                raise Over
+            if play.verdict is not None:
+                raise play.verdict
+            request = play.request
+            if request is not None and request.state is State.STANDS:
+                if self.router.sendable(request.server or 0):
+                    return request
+                # The box drains.  A repeatable session is set up elsewhere; a paid one ends here.
+                self.router.leave(request)
+                play.request, play.over = None, play.paid
+                continue
+            if request is None:
+                self._start(play)
+            if play.request is not None and play.request.state is State.OPEN:
+                if len(play.waiters) >= WAITERS_MOST:
+                    raise Final(503, "too many fetches wait for this set-up", BUSY_MS)
+                waiter: Deferred[None] = Deferred()
+                play.waiters.append(waiter)
+                await waiter
+        if play.request is not None and play.request.state is State.STANDS and not play.over:
+            return play.request
+        raise Final(503, "the session was lost while it was set up", BUSY_MS)
+
+    def _start(self, play: Play) -> None:
+        title, kind = play.title, self.router.classes[play.class_name]
+        viewer = PlayViewer(self, play)
+        play.fresh = None
+        ask = Ask(self.new_name(), play.class_name, play.title_name, title.first_cell, title.copies,
+                  title.ceiling, kind.deadline_us / 1000.0, length_ms=title.length_ms, viewer=play.key)
+        request = self.router.take(ask, viewer, self.boxes)
+        if request is None:
+            raise Final(503, "too many requests", BUSY_MS)
+        if viewer.final is not None:
+            raise viewer.final
+        play.request = request
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -20,6 +20,7 @@
 from cloverhinge.net.changelog import Box, Change, ChangeLog
 from cloverhinge.net.front import Front
 from cloverhinge.net.pumps import Pumps
+from cloverhinge.site import HlsSite, Site
 
 ACCEPT_AFTER_TERM_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
 FLUSH_MS = 150.0  # for what has been written at the end to leave
@@ -31,8 +32,8 @@
 class Node:
     log = Logger()
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, site: Site) -> None:
+        self.config, self.site = config, site
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         self.router = Router(config.settings, config.seed, self.clock, self.deadlines)
@@ -44,6 +45,7 @@
                                    random.Random(config.seed))
         self.stopping = False
         self.port: Any = None
+        self.web_ports: list[Any] = []
 
     def start(self) -> None:
         for at, change in enumerate(self.config.known):
@@ -55,12 +57,29 @@
         self.port = reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
         self.log.info("{name}: listening on {host}:{port}, {boxes} boxes known", name=self.config.name,
                       host=host, port=self.port.getHost().port, boxes=len(self.boxes))
+        if self.site.hls is not None:
+            self._start_hls(self.site.hls)
+
+    def _start_hls(self, site: HlsSite) -> None:
+        from cloverhinge.hls import front, plays  # loaded only where the front is wanted
+        from cloverhinge.hls.boxes import HlsBoxes
+
+        boxes = HlsBoxes(reactor, self.router, self.deadlines, self.config.connect_ms, self.boxes,
+                         site.box_port, site.boxes, site.manifest_bytes)
+        held = plays.Plays(self.router, boxes, self.deadlines, site.idle_ms)
+        root = front.Front(site, self.router, boxes, held)
+        host, port = site.listen
+        web = reactor.listenTCP(port, front.factory(root, self.config.sockets // 4), backlog=BACKLOG,
+                                interface=host)
+        self.web_ports.append(web)
+        self.log.info("{name}: HLS on {host}:{port}, {titles} titles", name=self.config.name, host=host,
+                      port=web.getHost().port, titles=len(site.titles))
 
     def change(self, change: Change, kind: api.ListKind | None = None) -> None:
         """A list, or a change of one: the router first, as it says what may still be written to."""
         kind = kind or (api.ListKind.FULL if change.full else api.ListKind.DELTA)
         if kind is not api.ListKind.DELTA:
-            self.boxes = {}
+            self.boxes.clear()  # in place: both sides look boxes up in it
         for box, listing in change.rows:
             self.boxes.pop(box.number, None)
             if listing.health is not api.Health.GONE:
@@ -81,7 +100,8 @@
         self.deadlines.after(ACCEPT_AFTER_TERM_MS, self._finish)
 
     def _finish(self) -> None:
-        self.port.stopListening()
+        for port in (self.port, *self.web_ports):
+            port.stopListening()
         self.router.on_open = self._when_answered
         self._when_answered()
 
@@ -91,10 +111,10 @@
             self.deadlines.after(FLUSH_MS, reactor.stop)
 
 
-def serve(config: Config) -> int:
+def serve(config: Config, site: Site) -> int:
     observer: Any = textFileLogObserver(sys.stderr)
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
-    node = Node(config)
+    node = Node(config, site)
     failures: list[BaseException] = []
 
     def guarded(call: Callable[[], None]) -> None:
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -15,7 +15,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
@@ -224,9 +224,10 @@
 
 
 @contextmanager
-def site(folder: Path, count: int = 2, **more: Any) -> Iterator[tuple[Program, list[Pump], ChangeLog]]:
+def site(folder: Path, count: int = 2, pumps: Sequence[Pump] = (), **more: Any,
+         ) -> Iterator[tuple[Program, list[Pump], ChangeLog]]:
     """A program with so many pumps, one a cell; it has to end without an escaped exception."""
-    pumps, log = [Pump(f"s-{n:08x}", n) for n in range(count)], ChangeLog()
+    pumps, log = list(pumps) or [Pump(f"s-{n:08x}", n) for n in range(count)], ChangeLog()
     program = Program(folder, pumps, log, **more)
     try:
         yield program, pumps, log
