--- /dev/null
+++ b/cloverhinge/admin.py
@@ -0,0 +1,85 @@
+"""The admin socket: whoever writes the line `status` gets the router's state as one line of JSON."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import Any
+
+from twisted.internet.protocol import ServerFactory
+
+from cloverhinge.core import invariants
+from cloverhinge.core.model import State
+from cloverhinge.core.router import Router
+from cloverhinge.net.buffered import BufferedReceiver
+from cloverhinge.net.changelog import Box
+from cloverhinge.net.pumps import Pumps
+
+SESSIONS_MOST = 100  # shown; the count is told in full
+LINES_MOST = 16  # connections at a time
+
+
+def snapshot(name: str, router: Router, pumps: Pumps, boxes: dict[int, Box], started_ms: float,
+             certificate: dict[str, Any] | None, plays: int) -> dict[str, Any]:
+    now = router.clock.now()
+    servers = router.controller.fleet.servers
+
+    def load(limit: Any) -> float | None:
+        return None if limit.load is None else round(limit.load, 3)
+
+    standing = [request for request in router.requests if request.state is State.STANDS]
+    shown = sorted(standing, key=lambda x: x.taken_ms)[:SESSIONS_MOST]
+    return {
+        "name": name, "up_s": round((now - started_ms) / 1000.0, 1), "open": router.open,
+        "standing": len(standing), "plays": plays, "counters": asdict(router.counters),
+        "broken": dict(invariants.broken), "certificate": certificate,
+        "boxes": [{
+            "name": box.name, "address": f"{box.host}:{box.port}",
+            "health": router.listings[number].health.value if number in router.listings else "gone",
+            "sessions": len(router.standing.get(number, {})),
+            "link": load(servers[number].link) if number in servers else None,
+            "uplink": load(servers[number].uplink) if number in servers else None,
+            "connected": number in pumps.pumps and pumps.pumps[number].line is not None,
+        } for number, box in sorted(boxes.items(), key=lambda x: x[1].name)],
+        "sessions": [{
+            "id": request.ask.name, "class": request.ask.class_name, "title": request.ask.title,
+            "box": boxes[request.server].name if request.server in boxes else "?", "rung": request.rung,
+            "age_s": round((now - request.taken_ms) / 1000.0, 1),
+        } for request in shown]}
+
+
+class AdminLine(BufferedReceiver):
+    MAX_LENGTH = 256
+    delimiter = b"\n"
+
+    def __init__(self, admin: Admin) -> None:
+        super().__init__()
+        self.admin = admin
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.admin.count += 1
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.gone = True
+        self.admin.count -= 1
+
+    def pauseProducing(self) -> None:
+        pass  # one answer may fill the transport's buffer; it is bounded by what it shows
+
+    def lineReceived(self, line: bytes) -> None:
+        if line.strip() == b"status":
+            self.send(json.dumps(self.admin.status()).encode() + b"\n")
+        else:
+            self.send(b'{"error":"only status is known here"}\n')
+
+
+class Admin(ServerFactory):
+    noisy = False
+
+    def __init__(self, status: Callable[[], dict[str, Any]]) -> None:
+        self.status, self.count = status, 0
+
+    def buildProtocol(self, addr: Any) -> AdminLine | None:
+        return AdminLine(self) if self.count < LINES_MOST else None
--- a/cloverhinge/cli.py
+++ b/cloverhinge/cli.py
@@ -3,17 +3,21 @@
 Usage:
   cloverhinge serve [--site FILE]
   cloverhinge check [CONFIG] [--site FILE]
+  cloverhinge console [--once] [--site FILE]
   cloverhinge version
   cloverhinge (-h | --help)
 
 Commands:
   serve    Run the router.  LB_CONFIG names its configuration, LB_LISTEN where it listens.
   check    Read a configuration (that of LB_CONFIG, unless named) and say what is wrong with it.
+  console  Show a running router's sessions, boxes, counters and certificate, at the admin socket
+           that the site file names.
   version  Print the version.
 
 Options:
   --site FILE  The site's own file, which turns the HLS front on.  [default: deploy/site.toml]
                The default may be missing: then the platform's front stands alone.
+  --once       Print one view and end.
   -h --help    Show this text.
 """
 
@@ -24,7 +28,7 @@
 
 from docopt import docopt
 
-from cloverhinge import __version__, config, site
+from cloverhinge import __version__, config, console, site
 
 DEFAULT_SITE = "deploy/site.toml"
 
@@ -35,10 +39,15 @@
         print(f"cloverhinge {__version__}")
         return 0
     try:
+        if chosen["console"]:
+            admin = site.read(Path(chosen["--site"])).admin
+            if admin is None:
+                raise config.ConfigError(f"{chosen['--site']} names no admin socket")
+            return console.show(admin, chosen["--once"])
         told = config.read(chosen["CONFIG"]) if chosen["CONFIG"] else config.from_environment()
         path = Path(chosen["--site"])
         around = site.read(path) if path.exists() or chosen["--site"] != DEFAULT_SITE else site.Site()
-    except config.ConfigError as error:
+    except (config.ConfigError, console.ConsoleError) as error:
         print(f"cloverhinge: {error}", file=sys.stderr)
         return 2
     if chosen["check"]:
--- /dev/null
+++ b/cloverhinge/console.py
@@ -0,0 +1,98 @@
+"""The terminal console: a view of one router, drawn anew each second."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import socket
+import sys
+import time
+from datetime import UTC, datetime
+from typing import Any, TextIO
+
+WAIT_S = 3.0
+PAUSE_S = 1.0
+ENTER, LEAVE, HOME = "\x1b[?1049h\x1b[?25l", "\x1b[?25h\x1b[?1049l", "\x1b[H"
+
+
+class ConsoleError(Exception):
+    """One plain sentence on why there is nothing to show."""
+
+
+def fetch(where: tuple[str, int]) -> dict[str, Any]:
+    try:
+        with socket.create_connection(where, WAIT_S) as link, link.makefile("rb") as answer:
+            link.sendall(b"status\n")
+            told = json.loads(answer.readline())
+    except (OSError, ValueError) as error:
+        raise ConsoleError(f"no router answers at {where[0]}:{where[1]}: {error}") from None
+    if not isinstance(told, dict) or "counters" not in told:
+        raise ConsoleError(f"what answers at {where[0]}:{where[1]} is no router")
+    return told
+
+
+def percent(load: float | None) -> str:
+    return "-" if load is None else f"{load * 100:.0f}%"
+
+
+def plain(text: Any, width: int) -> str:
+    """Cut to its column; ids and titles come from outside, so no control characters reach the terminal."""
+    shown = "".join(c if c.isprintable() else "?" for c in str(text))
+    return shown[:width].ljust(width)
+
+
+def render(told: dict[str, Any], height: int = 1000) -> list[str]:
+    count = told["counters"]
+    lines = [f"{told['name'] or 'cloverhinge'}   up {told['up_s']:.0f} s   {told['standing']} sessions, "
+             f"{told['open']} requests open, {told['plays']} HLS plays",
+             f"taken {count['taken']}   served {count['served']}   refused {count['refused']}   "
+             f"failed {count['failed']}   left {count['left']}   carried {count['carried']}   "
+             f"ended {count['ended']}   cut {count['cut']}",
+             f"attempts {count['attempts']}   probes {count['probes']}   "
+             + "   ".join(f"{name} {n}" for name, n in sorted(count["outcomes"].items()))]
+    if told["broken"]:
+        lines.append("DEFECTS  " + "   ".join(f"{name}: {n}" for name, n in told["broken"].items()))
+    certificate = told["certificate"]
+    if certificate is not None:
+        if certificate["expires_ms"] is None:
+            text = "none yet"
+        else:
+            when = datetime.fromtimestamp(certificate["expires_ms"] / 1000.0, UTC)
+            text = f"good until {when:%Y-%m-%d %H:%M} UTC"
+        problem = f"   last try failed: {certificate['error']}" if certificate["error"] else ""
+        lines.append(f"certificate for {', '.join(certificate['domains'])}: {text}{problem}")
+    lines += ["", "BOX               ADDRESS                HEALTH    LINE  SESSIONS   LINK  UPLINK"]
+    for box in told["boxes"]:
+        lines.append(f"{plain(box['name'], 16)}  {plain(box['address'], 21)}  {plain(box['health'], 8)}  "
+                     f"{'up' if box['connected'] else 'down':4}  {box['sessions']:8}  "
+                     f"{percent(box['link']):>5}  {percent(box['uplink']):>6}")
+    lines += ["", "SESSION           CLASS             TITLE             BOX               RUNG     AGE"]
+    for one in told["sessions"]:
+        rung = "floor" if one["rung"] is None else str(one["rung"])
+        lines.append(f"{plain(one['id'], 16)}  {plain(one['class'], 16)}  {plain(one['title'], 16)}  "
+                     f"{plain(one['box'], 16)}  {rung:>4}  {one['age_s']:5.0f} s")
+    if len(lines) > height:
+        lines = [*lines[:height - 1], f"... {len(lines) - height + 1} lines more"]
+    return lines
+
+
+def show(where: tuple[str, int], once: bool, out: TextIO = sys.stdout) -> int:
+    if once or not out.isatty():
+        out.write("\n".join(render(fetch(where))) + "\n")
+        return 0
+    out.write(ENTER)
+    try:
+        while True:
+            size = shutil.get_terminal_size()
+            try:
+                lines = render(fetch(where), size.lines - 1)
+            except ConsoleError as error:  # it may be starting again
+                lines = [str(error)]
+            out.write(HOME + "".join(f"{line[:size.columns]}\x1b[K\n" for line in lines) + "\x1b[J")
+            out.flush()
+            time.sleep(PAUSE_S)
+    except KeyboardInterrupt:
+        return 0
+    finally:
+        out.write(LEAVE)
+        out.flush()
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -12,6 +12,7 @@
 from twisted.internet import reactor as _reactor
 from twisted.logger import Logger, globalLogBeginner, textFileLogObserver
 
+from cloverhinge.admin import Admin, snapshot
 from cloverhinge.config import Config
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.deadlines import Deadlines
@@ -20,7 +21,7 @@
 from cloverhinge.net.changelog import Box, Change, ChangeLog
 from cloverhinge.net.front import Front
 from cloverhinge.net.pumps import Pumps
-from cloverhinge.site import HlsSite, Site
+from cloverhinge.site import AcmeSite, HlsSite, Site
 
 ACCEPT_AFTER_TERM_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
 FLUSH_MS = 150.0  # for what has been written at the end to leave
@@ -46,6 +47,9 @@
         self.stopping = False
         self.port: Any = None
         self.web_ports: list[Any] = []
+        self.plays: Any = None  # of the HLS front, where there is one
+        self.keeper: Any = None  # of certificates
+        self.started_ms = self.clock.now()
 
     def start(self) -> None:
         for at, change in enumerate(self.config.known):
@@ -57,23 +61,56 @@
         self.port = reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
         self.log.info("{name}: listening on {host}:{port}, {boxes} boxes known", name=self.config.name,
                       host=host, port=self.port.getHost().port, boxes=len(self.boxes))
+        if self.site.admin is not None:
+            admin = reactor.listenTCP(self.site.admin[1], Admin(self.status), interface=self.site.admin[0])
+            self.log.info("{name}: admin on 127.0.0.1:{port}", name=self.config.name,
+                          port=admin.getHost().port)
         if self.site.hls is not None:
-            self._start_hls(self.site.hls)
+            self._start_hls(self.site.hls, self.site.acme)
 
-    def _start_hls(self, site: HlsSite) -> None:
+    def _start_hls(self, site: HlsSite, acme: AcmeSite | None) -> None:
         from cloverhinge.hls import front, plays  # loaded only where the front is wanted
         from cloverhinge.hls.boxes import HlsBoxes
 
         boxes = HlsBoxes(reactor, self.router, self.deadlines, self.config.connect_ms, self.boxes,
                          site.box_port, site.boxes, site.manifest_bytes)
-        held = plays.Plays(self.router, boxes, self.deadlines, site.idle_ms)
-        root = front.Front(site, self.router, boxes, held)
+        held = self.plays = plays.Plays(self.router, boxes, self.deadlines, site.idle_ms)
+        root = front.Front(site, self.router, boxes, held, self._proof)
         host, port = site.listen
-        web = reactor.listenTCP(port, front.factory(root, self.config.sockets // 4), backlog=BACKLOG,
-                                interface=host)
+        wired = front.factory(root, self.config.sockets // 4)
+        web = reactor.listenTCP(port, wired, backlog=BACKLOG, interface=host)
         self.web_ports.append(web)
         self.log.info("{name}: HLS on {host}:{port}, {titles} titles", name=self.config.name, host=host,
                       port=web.getHost().port, titles=len(site.titles))
+        if acme is not None:
+            self._start_acme(acme, wired)
+
+    def _start_acme(self, site: AcmeSite, wired: Any) -> None:
+        from cloverhinge.acme.keeper import Keeper
+
+        def ready() -> None:
+            if self.stopping:
+                return
+            tls = reactor.listenSSL(site.listen[1], wired, self.keeper.live, backlog=BACKLOG,
+                                    interface=site.listen[0])
+            self.web_ports.append(tls)
+            self.log.info("{name}: HLS over TLS on {host}:{port}", name=self.config.name,
+                          host=site.listen[0], port=tls.getHost().port)
+
+        self.keeper = Keeper(site, self.deadlines, reactor.callFromThread, ready,
+                             random.Random(self.config.seed))
+        self.keeper.start()
+
+    def _proof(self, token: str) -> str | None:
+        return None if self.keeper is None else self.keeper.proofs.get(token)
+
+    def status(self) -> dict[str, Any]:
+        certificate = None
+        if self.keeper is not None:
+            certificate = {"domains": list(self.keeper.site.domains), "expires_ms": self.keeper.expires_ms,
+                           "error": self.keeper.error}
+        return snapshot(self.config.name, self.router, self.pumps, self.boxes, self.started_ms, certificate,
+                        len(self.plays.table) if self.plays is not None else 0)
 
     def change(self, change: Change, kind: api.ListKind | None = None) -> None:
         """A list, or a change of one: the router first, as it says what may still be written to."""
--- /dev/null
+++ b/tests/test_acme.py
@@ -0,0 +1,183 @@
+"""Certificates from a stand-in authority, and the console's view of them."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import random
+import socket
+import ssl
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverhinge import console
+from cloverhinge.acme.issue import issue, new_account_key
+from cloverhinge.acme.keeper import Keeper
+from cloverhinge.core.clock import ManualClock
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.site import AcmeSite
+from tests.authority import Authority
+from tests.stand import ROOT, WAIT_S, site
+
+DOMAIN = "training.example"
+
+
+@pytest.fixture
+def authority() -> Iterator[Authority]:
+    one = Authority()
+    yield one
+    one.stop()
+
+
+def certificate(port: int) -> int:
+    """The serial number of what is served."""
+    context = ssl.create_default_context()
+    context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+    with socket.create_connection(("127.0.0.1", port), WAIT_S) as link, \
+            context.wrap_socket(link, server_hostname=DOMAIN) as tls:
+        tls.sendall(b"GET /play/none/none HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        assert tls.recv(12) == b"HTTP/1.1 404"
+        from cryptography import x509
+
+        return x509.load_der_x509_certificate(tls.getpeercert(True) or b"").serial_number
+
+
+def test_the_front_serves_with_a_certificate_that_it_got_itself(tmp_path: Path, authority: Authority) -> None:
+    (tmp_path / "site.toml").write_text(
+        f'[hls]\nlisten = "127.0.0.1:0"\nkey = "{"k" * 32}"\n[admin]\nlisten = "127.0.0.1:0"\n'
+        f'[acme]\ndirectory = "{authority.url}"\ndomains = ["{DOMAIN}"]\nlisten = "127.0.0.1:0"\n'
+        f'state = "{tmp_path / "state"}"\n')
+    serials = []
+    for _ in range(2):
+        with site(tmp_path, 1, deploy=tmp_path / "site.toml") as (program, _, _log):
+            admin = int(program.wait_for(r"admin on 127\.0\.0\.1:(\d+)")[1])
+            front = int(program.wait_for(r"HLS on 127\.0\.0\.1:(\d+)")[1])
+            if not authority.front.done():
+                authority.front.set_result(front)
+            tls = int(program.wait_for(r"HLS over TLS on 127\.0\.0\.1:(\d+)")[1])
+            serials.append(certificate(tls))
+            view = "\n".join(console.render(console.fetch(("127.0.0.1", admin))))
+            assert f"certificate for {DOMAIN}: good until" in view and "s-00000000" in view
+    assert serials[0] == serials[1] == 1001 and authority.issued == 1  # the second start found it kept
+    assert (tmp_path / "state" / "key.pem").stat().st_mode & 0o77 == 0
+
+
+class Kept:
+    """A keeper on a clock that stands still; its orders run in their threads, what they bring in `turn`."""
+
+    def __init__(self, authority: Authority, folder: Path, **changes: Any) -> None:
+        self.clock = ManualClock(datetime.datetime.now().timestamp() * 1000.0)
+        self.deadlines = Deadlines(self.clock)
+        self.calls: list[tuple[Any, ...]] = []
+        self.called = threading.Semaphore(0)
+        told: dict[str, Any] = {"directory": authority.url, "domains": (DOMAIN,), "contact": "",
+                                "listen": ("127.0.0.1", 0), "state": folder, "ca_file": "",
+                                "renew_before_s": 30 * 86400.0, **changes}
+        self.ready = 0
+        self.keeper = Keeper(AcmeSite(**told), self.deadlines, self._call, self._ready, random.Random(1))
+
+    def _ready(self) -> None:
+        self.ready += 1
+
+    def _call(self, *call: Any) -> None:
+        self.calls.append(call)
+        self.called.release()
+
+    def turn(self) -> None:
+        assert self.called.acquire(timeout=WAIT_S)
+        function, *arguments = self.calls.pop(0)
+        function(*arguments)
+
+    def pass_days(self, days: float) -> None:
+        self.clock.advance(days * 86_400_000.0)
+        self.deadlines.run()
+
+
+@pytest.fixture
+def answering(authority: Authority) -> Iterator[dict[str, str]]:
+    """The challenges' front, in place of the program's."""
+    from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+    proofs: dict[str, str] = {}
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_GET(self) -> None:
+            self.send_response(200)
+            self.end_headers()
+            self.wfile.write(proofs.get(self.path.split("/")[-1], "").encode())
+
+        def log_message(self, *_: Any) -> None:
+            pass
+
+    web = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    threading.Thread(target=web.serve_forever, args=(0.05,), daemon=True).start()
+    authority.front.set_result(web.server_port)
+    yield proofs
+    web.shutdown()
+    web.server_close()
+
+
+def test_renewal_comes_before_the_end_and_a_failure_keeps_the_old_one(
+        tmp_path: Path, authority: Authority, answering: dict[str, str]) -> None:
+    kept = Kept(authority, tmp_path)
+    kept.keeper.proofs = answering
+    kept.keeper.start()
+    kept.turn()
+    first = kept.keeper.live.context
+    assert first is not None and kept.ready == 1 and not answering, "proofs are taken away again"
+    kept.pass_days(59)
+    assert authority.issued == 1
+    authority.refusing = True
+    kept.pass_days(2)
+    kept.turn()
+    assert kept.keeper.live.context is first and "rateLimited" in kept.keeper.error
+    kept.pass_days(0.01)  # the first pause is about a minute
+    kept.turn()
+    assert kept.keeper.failures == 2 and len(kept.deadlines) == 1
+    authority.refusing = False
+    kept.pass_days(0.01)
+    kept.turn()
+    assert kept.keeper.live.context not in (None, first) and kept.ready == 1
+    assert (kept.keeper.error, kept.keeper.failures, authority.issued) == ("", 0, 2)
+
+
+def test_a_damaged_state_is_passed_over(tmp_path: Path, authority: Authority,
+                                        answering: dict[str, str]) -> None:
+    for name in ("key.pem", "chain.pem"):
+        (tmp_path / name).write_text("not a key")
+    kept = Kept(authority, tmp_path)
+    kept.keeper.proofs = answering
+    kept.keeper.start()
+    kept.turn()
+    assert kept.ready == 1 and authority.issued == 1
+
+
+def test_the_account_of_an_earlier_start_is_used_again(authority: Authority,
+                                                       answering: dict[str, str]) -> None:
+    account = new_account_key()
+    for _ in range(2):
+        assert b"BEGIN CERTIFICATE" in issue(authority.url, (DOMAIN,), "", "", account, answering).chain_pem
+    assert len(authority.accounts) == 1
+
+
+def test_the_console_prints_one_view_or_says_why_not(tmp_path: Path) -> None:
+    (tmp_path / "site.toml").write_text('[admin]\nlisten = "127.0.0.1:0"\n')
+    with site(tmp_path, 1, deploy=tmp_path / "site.toml") as (program, _, _log):
+        port = program.wait_for(r"admin on 127\.0\.0\.1:(\d+)")[1]
+        (tmp_path / "console.toml").write_text(f'[admin]\nlisten = "127.0.0.1:{port}"\n')
+        command = [sys.executable, "-m", "cloverhinge", "console", "--once", "--site",
+                   str(tmp_path / "console.toml")]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S)
+        assert done.returncode == 0 and "s-00000000" in done.stdout and "taken 0" in done.stdout
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S)
+    assert done.returncode == 2 and "no router answers" in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_what_comes_from_outside_can_t_steer_the_terminal() -> None:
+    assert console.plain(json.loads('"\\u001b[2Jx"'), 6) == "?[2Jx "
