--- a/cloverhinge/net/changelog.py
+++ b/cloverhinge/net/changelog.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 import random
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -22,6 +23,7 @@
 CONNECT_MS = 700.0
 BACKOFF_MS = (50.0, 1000.0)
 LINE_MAX = 1 << 20
+PLATFORM_ID = re.compile(r"s-[0-9a-f]{8}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,8 +37,14 @@
 
 
 def number_of(name: str) -> int:
-    """The module's number for a box: alike at every router, as it picks a title's first holder by it."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big")
+    """The module's number for a box: alike at every router, as it picks a title's first holder by it.
+
+    An id of the platform's form holds the number that the simulator gives the same box, so both programs
+    begin a title at the same holder.  Any other id is hashed, to a number that no such id has.
+    """
+    if PLATFORM_ID.fullmatch(name):
+        return int(name[2:], 16)
+    return 1 << 32 | int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big")
 
 
 def address(text: str, lowest: int = 1) -> tuple[str, int]:
