--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -32,6 +32,7 @@
 
 ANSWER_MARGIN_MS = 60.0  # an answer is on its way so long before the viewer stops waiting
 GUARD_MARGIN_MS = 25.0  # and whatever happens, so long before
+GIVE_UP_MS = 8.0  # a box hears so soon that an attempt is given up; only then may another one go out
 CAUSES = {Outcome.SERVED: Cause.ENDED, Outcome.RESET: Cause.CUT, Outcome.CANCELLED: Cause.CANCELLED}
 
 
@@ -199,11 +200,16 @@
         return True
 
     def _timed_out(self, attempt: Attempt) -> None:
+        """Guards one attempt out at a time: the give-up and the next set-up travel on two connections, and
+        the set-up could arrive first."""
         attempt.deadline = None
         if attempt.request.attempt is attempt:
             self._withdraw(attempt)
-            # What was never written can't have run, whatever became of its connection.
-            self._settle(attempt, Outcome.TIMEOUT if attempt.written else Outcome.CONNECT_FAILED, False)
+            if attempt.written:
+                attempt.deadline = self.deadlines.after(
+                    GIVE_UP_MS, lambda: self.attempt_ended(attempt, Outcome.TIMEOUT))
+            else:  # it can't have run, whatever became of its connection
+                self._settle(attempt, Outcome.CONNECT_FAILED, False)
 
     def _withdraw(self, attempt: Attempt) -> None:
         attempt.request.boxes.give_up(attempt)
--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Any
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory, connectionDone
@@ -185,9 +184,3 @@
             if line.midway and now - line.heard_ms > PARTIAL_MS:
                 line.drop()
         self.deadlines.after(SWEEP_MS, self._sweep)
-
-    def close(self) -> None:
-        for line in self.lines:
-            transport: Any = line.transport
-            if transport is not None:
-                line.close()
--- a/cloverhinge/site.py
+++ b/cloverhinge/site.py
@@ -4,7 +4,7 @@
 
 import re
 import tomllib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -54,7 +54,6 @@
     hls: HlsSite | None = None
     acme: AcmeSite | None = None
     admin: tuple[str, int] | None = None
-    unknown: tuple[str, ...] = field(default=())
 
 
 def read(path: Path) -> Site:
@@ -73,9 +72,7 @@
 
 
 def parse(told: dict[str, Any]) -> Site:
-    unknown = sorted(told.keys() - {"hls", "acme", "admin"})
-    if unknown:
-        raise ValueError(f"nothing is called {unknown[0]} here")
+    known(told, "", "hls acme admin")
     admin = address(told["admin"]["listen"], 0) if "admin" in told else None
     if admin is not None and not admin[0].startswith("127."):
         raise ValueError("admin.listen has to be a loopback address")
@@ -85,6 +82,13 @@
     return Site(hls, parse_acme(told["acme"]) if "acme" in told else None, admin)
 
 
+def known(told: dict[str, Any], where: str, names: str) -> None:
+    """Guards against a misspelt key, which would leave its default in force unseen."""
+    unknown = sorted(told.keys() - set(names.split()))
+    if unknown:
+        raise ValueError(f"nothing is called {where}{unknown[0]}")
+
+
 def positive(value: Any, name: str) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
         raise ValueError(f"{name} has to be a number over 0")
@@ -92,11 +96,13 @@
 
 
 def parse_hls(told: dict[str, Any]) -> HlsSite:
+    known(told, "hls.", "listen key idle_s manifest_kb box_port allow_origin boxes titles")
     key = str(told["key"]).encode()
     if len(key) < KEY_SHORTEST:
         raise ValueError(f"hls.key has to hold {KEY_SHORTEST} characters or more")
     titles = {}
     for name, one in (told.get("titles") or {}).items():
+        known(one, f"hls.titles.{name}.", "home copies top length_s classes")
         if not NAME.fullmatch(name):
             raise ValueError(f"hls.titles.{name}: a title is made of letters, digits, '.', '_' and '-'")
         titles[name] = Title(int(one.get("home", 0)), int(one["copies"]), int(one.get("top", 255)),
@@ -111,6 +117,7 @@
 
 
 def parse_acme(told: dict[str, Any]) -> AcmeSite:
+    known(told, "acme.", "directory domains contact listen state ca_file renew_before_days")
     domains = tuple(str(one) for one in told["domains"])
     if not domains:
         raise ValueError("acme.domains names no domain")
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -26,8 +26,9 @@
     assert change is not None and (change.seq, change.full) == (41, True)
     box, listing = change.rows[0]
     assert (box.name, box.host, box.port) == ("s-00c41f7a", "10.1.0.9", 5060)
-    assert (listing.server, listing.cell, listing.kind, listing.health, listing.weight, listing.started_us) == (
-        box.number, 2, "std", Health.DRAINING, 4.0, 1_500_000)
+    assert (listing.server, listing.cell, listing.kind, listing.health) == (
+        box.number, 2, "std", Health.DRAINING)
+    assert (listing.weight, listing.started_us) == (4.0, 1_500_000)
     assert parse_event({"seq": 42, "unheard": {}}) is None
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,7 @@
 from cloverhinge.core.clock import ManualClock, to_ms, to_us
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.model import Ask, Attempt, Cause, Request, State
-from cloverhinge.core.router import ANSWER_MARGIN_MS, Router
+from cloverhinge.core.router import ANSWER_MARGIN_MS, GIVE_UP_MS, Router
 from cloverhinge.core.slots import Table
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.interface import Outcome
@@ -175,6 +175,17 @@
     assert class_name == "film" or len(stand.sent) == 1
 
 
+def test_the_next_attempt_waits_until_the_give_up_has_been_heard() -> None:
+    """Guards against two attempts out at once, when a set-up overtakes the give-up on another connection."""
+    stand = Stand()
+    stand.take()
+    stand.router.may_write(stand.sent[0])
+    stand.pass_ms(stand.sent[0].until_ms - stand.clock.now())
+    assert stand.told[-1] == ("give up", stand.sent[0].server) and len(stand.sent) == 1
+    stand.pass_ms(GIVE_UP_MS)
+    assert len(stand.sent) == 2
+
+
 def test_what_was_never_written_did_not_run() -> None:
     """Guards a paid set-up that waits for a connection: its time-out proves that it never ran."""
     stand = Stand()
