--- a/cloverhinge/hls/plays.py
+++ b/cloverhinge/hls/plays.py
@@ -153,6 +153,11 @@
             if play.verdict is not None:
                 raise play.verdict
             request = play.request
+            if request is not None and request.state is State.OVER:
+                # Ended by its box without a word for the viewer, as a cancelled session is.
+                request, play.request, play.over = None, None, play.paid
+                if play.over:
+                    raise Over
             if request is not None and request.state is State.STANDS:
                 if self.router.sendable(request.server or 0):
                     return request
--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -73,6 +73,7 @@
             self.send(rtsp.response(200, cseq, name))
             request = self.front.router.by_name.get(name)
             if request is not None and isinstance(request.viewer, RtspViewer):
+                request.viewer.line_done()
                 self.front.router.leave(request)
         elif message.method == "OPTIONS":
             self.send(rtsp.response(200 if self.front.ready else 503, cseq, name))
@@ -90,10 +91,16 @@
     def __init__(self, front: Front, line: ViewerLine, name: str) -> None:
         self.front, self.handle, self.peer, self.name = front, line.handle, line.peer, name
 
-    def _answer(self, status: int, fields: dict[str, str] | None = None, body: bytes = b"") -> None:
+    def line_done(self) -> ViewerLine | None:
+        """Nothing is owed on its connection any more; the connection, where it is still open."""
         line = self.front.lines.get(self.handle)
         if line is not None:
             line.open.pop(self.name, None)
+        return line
+
+    def _answer(self, status: int, fields: dict[str, str] | None = None, body: bytes = b"") -> None:
+        line = self.line_done()
+        if line is not None:
             line.send(rtsp.response(status, "1", self.name, fields, body))
 
     def served(self, answer: bytes) -> None:
--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -24,6 +24,7 @@
 SWEEP_MS = 400.0
 SILENT_MS = 2400.0  # a pump with sessions that said nothing for so long has to take a new connection
 DEAD_MS = 5000.0  # one that took none for so long has lost its sessions; the rule allows 8 s
+SHORT_MS = 1000.0  # a line that lasted so long is opened anew at once
 RETRY_MS = (200.0, 2000.0)  # pause before a failed connection is tried again
 IDLE_SHARE = 0.6  # of the time after which idle connections are closed, a line is replaced
 RETIRE_MS = 1500.0  # a replaced line is read for so long after its end was announced
@@ -74,6 +75,7 @@
         super().__init__()
         self.pump = pump
         self.since_ms = 0.0
+        self.closing_ms: float | None = None  # half-closed since
         self.attempts: dict[str, Attempt] = {}
         self.probes: dict[str, Probe] = {}
 
@@ -183,7 +185,11 @@
         line.attempts.clear()
         line.probes.clear()
         if self.listed and self.line is None:
-            self.open()
+            now = self.pool.clock.now()
+            if now - line.since_ms >= SHORT_MS:
+                self.open()
+            else:  # guards against a pump that takes connections and closes them at once
+                self.retry_at_ms = now + RETRY_MS[0]
 
     def write(self, line: PumpLine, one: Attempt | Probe) -> None:
         if isinstance(one, Probe):
@@ -260,11 +266,11 @@
 
     def sweep(self, now: float) -> None:
         for line in list(self.retiring):
-            if line.since_ms < 0:
-                if now + line.since_ms > RETIRE_MS:  # half-closed so long ago
+            if line.closing_ms is not None:
+                if now - line.closing_ms > RETIRE_MS:
                     line.drop()
             elif not line.attempts and not line.probes:
-                line.since_ms = -now
+                line.closing_ms = now
                 transport: Any = line.transport
                 transport.loseWriteConnection()
         if not self.listed:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -94,6 +94,21 @@
         assert pumps[0].expect("TEARDOWN")[1].session == other
 
 
+def test_a_pump_that_closes_every_connection_is_not_called_without_end(tmp_path: Path) -> None:
+    """Guards against a loop of connections at the network's pace."""
+    with site(tmp_path, 2) as (program, pumps, _):
+        pumps[0].serve = lambda wire: wire.close()  # type: ignore[method-assign]
+        for wire in pumps[0].wires:
+            wire.close()
+        viewer = program.connect()
+        for number in range(1, 4):
+            ask(viewer, number, title=f"title-{number}")
+            assert answer(viewer).status in (200, 503)
+        before = len(pumps[0].wires)
+        program.end()
+        assert len(pumps[0].wires) - before < 8  # in the 0.9 s that the end takes
+
+
 def test_a_session_outlives_its_connections_and_ends_on_any(tmp_path: Path) -> None:
     with site(tmp_path, 1) as (program, pumps, _):
         first, second = program.connect(), program.connect()
--- /dev/null
+++ b/tests/test_plays.py
@@ -0,0 +1,112 @@
+"""Plays without a wire: what a fetch may set up, join or find ended."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from cloverhinge.core.model import Request
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.interface import Outcome
+from cloverhinge.hls.plays import Final, Over, Play, Plays
+from cloverhinge.site import Title
+from tests.test_core import Stand
+
+TITLE = Title(0, 6, 2, 0.0, frozenset())
+
+
+class Fetches:
+    """Plays over a stand-in core, and what each fetch came to."""
+
+    def __init__(self) -> None:
+        self.stand = Stand()
+        self.plays = Plays(self.stand.router, self.stand, self.stand.deadlines, 30_000.0)
+
+    def fetch(self, class_name: str = "paid", key: str = "attempt-1", title: str = "t") -> list[Any]:
+        """Empty while it waits, then what it came to."""
+        play, came = self.plays.find(key, class_name, title, TITLE), list[Any]()
+        work: Deferred[Request] = ensureDeferred(self.plays.stand(play))
+        work.addCallbacks(came.append, lambda failure: came.append(failure.value))
+        return came
+
+    def play(self, key: str = "attempt-1") -> Play:
+        return self.plays.by_key[key]
+
+    def answer(self) -> None:
+        attempt = self.stand.sent[-1]
+        assert self.stand.router.may_write(attempt) and self.stand.router.answered(attempt, b"made")
+
+
+def test_fetches_join_one_set_up() -> None:
+    fetches = Fetches()
+    came = [fetches.fetch() for _ in range(20)]
+    assert came == [[]] * 20 and len(fetches.stand.sent) == 1
+    fetches.answer()
+    assert {one[0] for one in came} == {fetches.play().request}
+    assert fetches.fetch() == [fetches.play().request] and len(fetches.stand.sent) == 1
+
+
+@pytest.mark.parametrize("class_name,again", [("paid", False), ("film", True)])
+@pytest.mark.parametrize("how", ["ended by its box", "cut", "cancelled by its box", "drained", "moved"])
+def test_only_a_repeatable_session_is_set_up_again(class_name: str, again: bool, how: str) -> None:
+    fetches = Fetches()
+    fetches.fetch(class_name)
+    fetches.answer()
+    request, router = fetches.play().request, fetches.stand.router
+    assert request is not None and request.server is not None
+    match how:
+        case "ended by its box":
+            router.session_over(request, Outcome.SERVED)
+            again = False  # it was watched to its end
+        case "cut":
+            router.cut(request)
+        case "cancelled by its box":
+            router.session_over(request, Outcome.CANCELLED)
+        case "drained":
+            fetches.stand.told_of(request.server, api.Health.DRAINING)
+        case "moved":
+            router._move(request.handle)
+    came = fetches.fetch(class_name)
+    assert len(fetches.stand.sent) == (2 if again else 1)
+    if again:
+        fetches.answer()
+        assert came == [fetches.play().request] and fetches.play().request is not request
+    else:
+        assert isinstance(came[0], Over) and isinstance(fetches.fetch(class_name)[0], Over)
+
+
+def test_a_failed_paid_play_stays_failed_and_a_refused_one_may_try_again() -> None:
+    fetches = Fetches()
+    came = fetches.fetch()
+    fetches.stand.router.may_write(fetches.stand.sent[0])
+    fetches.stand.router.attempt_ended(fetches.stand.sent[0], Outcome.ERROR)
+    assert [came[0].status, fetches.fetch()[0].status, len(fetches.stand.sent)] == [502, 502, 1]
+    came = fetches.fetch(key="attempt-2")
+    while not came:
+        fetches.stand.router.attempt_ended(fetches.stand.sent[-1], Outcome.FULL)
+    tried = len(fetches.stand.sent)
+    fetches.stand.pass_ms(5000.0)  # the boxes that were full are trusted again
+    assert came[0].status == 503 and fetches.fetch(key="attempt-2") == []
+    assert len(fetches.stand.sent) == tried + 1
+
+
+def test_state_goes_with_the_idle_session() -> None:
+    fetches = Fetches()
+    fetches.fetch()
+    fetches.answer()
+    fetches.stand.pass_ms(29_000.0)
+    assert fetches.play().request is not None
+    fetches.stand.pass_ms(2_000.0)
+    assert not fetches.plays.by_key and not fetches.plays.by_token and len(fetches.plays.table) == 0
+    assert any(one[0] == "release" for one in fetches.stand.told)
+
+
+def test_another_title_under_the_same_id_is_a_conflict_and_waiters_are_bounded() -> None:
+    fetches = Fetches()
+    came = [fetches.fetch() for _ in range(70)]
+    assert [one[0].status for one in came if one] == [503] * 6
+    with pytest.raises(Final) as raised:
+        fetches.fetch(title="u")
+    assert raised.value.status == 409
