Say plainly when an address is taken

Seen by hand with the example started twice: the log showed a traceback for what is an operator's slip. node.py now tells it in one sentence and exits with 1, as before.

--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from twisted.internet import reactor as _reactor
+from twisted.internet.error import CannotListenError
 from twisted.logger import Logger, globalLogBeginner, textFileLogObserver
 
 from cloverhinge.admin import Admin, snapshot
@@ -157,6 +158,10 @@
     def guarded(call: Callable[[], None]) -> None:
         try:
             call()
+        except CannotListenError as error:
+            failures.append(error)
+            Node.log.error("could not start: {error}", error=str(error))
+            reactor.stop()
         except Exception as error:
             failures.append(error)
             Node.log.failure("could not start")
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -169,7 +169,10 @@
                 wire.sock.sendall(line)
 
     def serve(self, wire: Wire) -> None:
-        since = int(wire.file.readline().split()[1])
+        words = wire.file.readline().split()
+        if not words:
+            return  # its follower ended before it asked
+        since = int(words[1])
         self.followers.put((since, wire))
         with suppress(OSError):
             wire.sock.sendall(b"".join(json.dumps(event).encode() + b"\n" for event in self.events[since:]))
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import json
+import os
 import socket
+import subprocess
+import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
-from tests.stand import WAIT_S, Message, Pump, Wire, answer, ask, site
+from tests.stand import ROOT, WAIT_S, Message, Pump, Wire, answer, ask, site
 
 
 def test_a_session_from_set_up_to_its_release(tmp_path: Path) -> None:
@@ -239,6 +242,18 @@
         assert (stepped.session, stepped.headers["x-quality"]) == (name, "0")
 
 
+def test_an_address_that_is_taken_is_one_plain_sentence_and_no_start(tmp_path: Path) -> None:
+    with site(tmp_path, 1) as (program, _, _log):
+        told = json.loads((tmp_path / "config.json").read_text())
+        told["listen"] = f"127.0.0.1:{program.port}"
+        (tmp_path / "taken.json").write_text(json.dumps(told))
+        done = subprocess.run([sys.executable, "-m", "cloverhinge", "serve"], cwd=ROOT, text=True,
+                              capture_output=True, timeout=WAIT_S,
+                              env={**os.environ, "LB_CONFIG": str(tmp_path / "taken.json")})
+        assert done.returncode == 1 and "could not start" in done.stderr
+        assert "Traceback" not in done.stderr
+
+
 def test_a_bad_configuration_is_one_line_and_no_start(tmp_path: Path) -> None:
     from cloverhinge import config
 
