SIGHUP rereads the configuration and follows the change log to its new address

Read: no handler stood for SIGHUP anywhere, so its default ended the process (node.py, serve); ChangeLog had no way to leave an address. Checked: both new tests fail without the change (exit -1). A SIGHUP is blocked from before the configuration is read until the router stands, so one that comes early is heard. A bad or half-written file is logged and changes nothing. The old log's line is dropped, as it may stay open silent.

--- a/cloverhinge/cli.py
+++ b/cloverhinge/cli.py
@@ -23,6 +23,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 
@@ -38,6 +39,8 @@
     if chosen["version"]:
         print(f"cloverhinge {__version__}")
         return 0
+    if chosen["serve"]:  # a SIGHUP that comes before the router stands waits until it does
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         if chosen["console"]:
             admin = site.read(Path(chosen["--site"])).admin
--- a/cloverhinge/config.py
+++ b/cloverhinge/config.py
@@ -44,7 +44,7 @@
         return parse(told, listen)
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
--- a/cloverhinge/net/changelog.py
+++ b/cloverhinge/net/changelog.py
@@ -124,20 +124,34 @@
         self.line: ChangeLogLine | None = None
         self.connector: Any = None
         self.watch: Key | None = None
+        self.pause: Key | None = None  # before the next try
         self.backoff_ms = BACKOFF_MS[0]
         self.stopped = False
 
     def start(self) -> None:
+        self.pause = None
         if self.stopped:
             return
         self.watch = self.deadlines.after(CONNECT_MS, self.silent)
         self.connector = self.reactor.connectTCP(*self.where, self, timeout=30)
 
-    def stop(self) -> None:
-        self.stopped = True
-        self.deadlines.cancel(self.watch)
-        if self.connector is not None:
-            self.connector.disconnect()
+    def follow(self, where: tuple[str, int]) -> None:
+        """The log has moved: ask there at once for what comes after the last event.
+
+        Guards against waiting for the old one, which tells nothing any more though it may stay open.
+        """
+        if where == self.where:
+            return
+        self.where, self.backoff_ms = where, BACKOFF_MS[0]
+        line, self.line = self.line, None
+        connector, self.connector = self.connector, None
+        for key in (self.watch, self.pause):
+            self.deadlines.cancel(key)
+        if line is not None:
+            line.drop()
+        elif connector is not None and connector.state == "connecting":
+            connector.stopConnecting()
+        self.start()
 
     def buildProtocol(self, addr: Any) -> ChangeLogLine:
         return ChangeLogLine(self)
@@ -161,7 +175,8 @@
             self.connector.stopConnecting()
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self._again()
+        if connector is self.connector:
+            self._again()
 
     def lost(self, line: ChangeLogLine) -> None:
         if self.line is line:
@@ -171,7 +186,7 @@
     def _again(self) -> None:
         self.deadlines.cancel(self.watch)
         if not self.stopped:
-            self.deadlines.after(self.backoff_ms * self.rng.uniform(0.7, 1.0), self.start)
+            self.pause = self.deadlines.after(self.backoff_ms * self.rng.uniform(0.7, 1.0), self.start)
             self.backoff_ms = min(self.backoff_ms * 2, BACKOFF_MS[1])
 
     def heard(self, line: ChangeLogLine, text: bytes) -> None:
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -14,7 +14,7 @@
 from twisted.logger import Logger, globalLogBeginner, textFileLogObserver
 
 from cloverhinge.admin import Admin, snapshot
-from cloverhinge.config import Config
+from cloverhinge.config import Config, ConfigError, from_environment
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
@@ -127,6 +127,23 @@
         self.log.info("list {seq}: {rows} boxes changed, {boxes} listed", seq=change.seq,
                       rows=len(change.rows), boxes=len(self.boxes))
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration anew.  One that is bad or half written leaves the old one in force.
+
+        The change log's address and the times of connections change at once; sessions go on.  The rest is
+        what the module and the tables were built with, and changes at the next start.
+        """
+        try:
+            told = from_environment()
+        except ConfigError as error:
+            self.log.error("{name}: keeps its configuration: {error}", name=self.config.name,
+                           error=str(error)[:500])
+            return
+        self.pumps.connect_ms, self.pumps.idle_ms = told.connect_ms, told.idle_ms
+        self.changelog.follow(told.changelog)
+        self.log.info("{name}: configuration read anew, change log at {host}:{port}", name=self.config.name,
+                      host=told.changelog[0], port=told.changelog[1])
+
     def terminate(self) -> None:
         """SIGTERM: go on taking what still comes, answer all of it, then end."""
         if self.stopping:
@@ -168,6 +185,8 @@
             reactor.stop()
 
     def begin() -> None:
+        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(node.reload))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came before is heard now
         signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(node.terminate))
         signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(node.terminate))
         guarded(node.start)
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -189,12 +189,13 @@
         told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "changelog": log.address,
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
                 "settings": {**SETTINGS, **settings}}
-        (folder / "config.json").write_text(json.dumps(told))
+        self.config, self.told = folder / "config.json", told
+        self.config.write_text(json.dumps(told))
         arguments = [sys.executable, "-m", "cloverhinge", "serve"]
         if deploy is not None:
             arguments += ["--site", str(deploy)]
         self.process = subprocess.Popen(arguments, cwd=ROOT, stderr=subprocess.PIPE, text=True,
-                                        env={**os.environ, "LB_CONFIG": str(folder / "config.json")})
+                                        env={**os.environ, "LB_CONFIG": str(self.config)})
         self.log: list[str] = []
         self.lines: queue.Queue[str] = queue.Queue()
         threading.Thread(target=self._read, daemon=True).start()
@@ -221,6 +222,10 @@
         sock = socket.create_connection(("127.0.0.1", self.port), timeout=WAIT_S)
         return Wire(sock)
 
+    def reload(self, text: str) -> None:
+        self.config.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     def end(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(WAIT_S)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -13,7 +14,7 @@
 
 import pytest
 
-from tests.stand import ROOT, WAIT_S, Message, Pump, Wire, answer, ask, site
+from tests.stand import ROOT, WAIT_S, ChangeLog, Message, Pump, Wire, answer, ask, site
 
 
 def test_a_session_from_set_up_to_its_release(tmp_path: Path) -> None:
@@ -179,6 +180,46 @@
         late.stop()
 
 
+def test_sighup_follows_the_change_log_to_its_new_address(tmp_path: Path) -> None:
+    """Guards against SIGHUP ending the program, and a wait for the old log, which stays open and silent."""
+    with site(tmp_path, 1) as (program, pumps, old):
+        viewer, new = program.connect(), ChangeLog()
+        name = ask(viewer, 1)
+        assert answer(viewer).status == 200 and old.followers.get(timeout=WAIT_S)[0] == 1
+        told = json.dumps({**program.told, "changelog": new.address})
+        for bad in (told[:-40], "", json.dumps({"changelog": new.address})):
+            program.reload(bad)
+            program.wait_for("keeps its configuration")
+        old.tell([pumps[0].row()])  # still followed
+        program.wait_for("list 2")
+        new.events = [*old.events, {"seq": 3, "fleet": {"instances": [pumps[0].row("left")]}}]
+        program.reload(told)
+        program.process.send_signal(signal.SIGHUP)  # the same again changes nothing
+        assert new.followers.get(timeout=WAIT_S)[0] == 2
+        assert answer(viewer, "TEARDOWN").session == name  # what stood went on until the new log told
+        program.process.send_signal(signal.SIGTERM)
+        program.process.send_signal(signal.SIGHUP)
+        assert program.process.wait(WAIT_S) == 0
+        new.stop()
+
+
+def test_a_sighup_before_it_listens_is_heard_then(tmp_path: Path) -> None:
+    with site(tmp_path, 1) as (program, _, _log):
+        pipe, held = tmp_path / "pipe", json.dumps({**program.told, "changelog": "127.0.0.1:1"})
+        os.mkfifo(pipe)  # its start stands still until the configuration has been written
+        late = subprocess.Popen([sys.executable, "-m", "cloverhinge", "serve"], cwd=ROOT, text=True,
+                                stderr=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(pipe)})
+        with pipe.open("w") as end:  # opens once the program reads
+            late.send_signal(signal.SIGHUP)
+            (tmp_path / "plain").write_text(held)
+            (tmp_path / "plain").replace(pipe)
+            end.write(held)
+        assert late.stderr is not None
+        assert any("read anew" in line for line in late.stderr)
+        late.terminate()
+        assert late.wait(WAIT_S) == 0
+
+
 def test_sigterm_answers_what_was_taken_and_what_still_comes(tmp_path: Path) -> None:
     with site(tmp_path, 1) as (program, pumps, _):
         pumps[0].script = pumps[0].hold
