Excuse servers the errors of titles that err everywhere; follow lost set-ups with a probe

Ruled out: the limit on descriptors (230 of 384), broken lines (no reset), and full pumps (no 453). Now a title that erred at two servers, and was served nowhere since, is at fault and stays out for a second; a server is at fault once it errs for two titles of which neither is, with nothing served in between. Before that a probe tells whether it works, as after a time-out. The same holds for a set-up that was reset, which had counted as a restart and put the pump on a cold one's pace for 10 s. Tokens, bookings and log stamps are bounded by what is live: the history of places, whose load is never told here, grew for ever. The tests fail without the change.

--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -36,6 +36,7 @@
 SWITCH_LIFE_S = 8.0  # seconds over which a change of rung must earn its price
 STEP_GAIN = 1.8  # a newcomer's step must be worth so much more than the steps taken for it
 RETRY_AFTER_US = 1_500_000  # a refused viewer finds other room after about this time
+TOKENS_MOST = 4096  # titles with a token, the latest asked for; another starts at its hashed holder again
 TICK, RESUBSCRIBE = 0, 1  # names of the two timers
 LOG_EVERY_US = 5_000_000  # at most one line of a kind in this time
 
@@ -50,6 +51,7 @@
         self.asked: dict[int, list[Session]] = {}  # who waits for the probes that are out
         self.requests = Recent(max(PACE_SPAN_US, settings.budget_span_us))  # for the budget and peers' pace
         self.averages: dict[int, tuple[float, float]] = {}  # of this event
+        self.odd: dict[str, tuple[set[int], int]] = {}  # titles that erred: the servers, and the last moment
         self.further = Recent(settings.budget_span_us)  # attempts beyond a session's first
         self.logged: dict[str, int] = {}
         self.rates = {x.name: [kb * x.rate_scale for kb in settings.ladder_kb] for x in settings.classes}
@@ -78,6 +80,7 @@
                 if (session := self.sessions.get(number)) and session.server:
                     session.playing, session.changed_us = True, now_us
                     self.trust(session.server)
+                    self.odd.pop(session.request.title, None)
             case api.AttemptEnded():
                 self.attempt_ended(event)
             case api.LinkNote(number, server, load) if server in servers:
@@ -103,6 +106,8 @@
                 self.probe_ended(event)
             case api.TimerFired(token):
                 self.out.append(api.SetTimer(TICK_US, TICK) if token == TICK else api.Subscribe())
+                self.odd = {x: y for x, y in self.odd.items() if now_us - y[1] < DISTRUST_US}
+                self.logged = {x: y for x, y in self.logged.items() if now_us - y < LOG_EVERY_US}
                 self.raise_rungs()
         return self.out
 
@@ -281,12 +286,15 @@
 
     def token_holder(self, request: api.SessionRequested, holders: list[Server]) -> Server | None:
         """The holder of the title's token: at first the one that a hash picks, alike at every instance."""
-        number = self.tokens.get(request.title)
+        number = self.tokens.pop(request.title, None)
         holder = next((s for s in holders if s.listing.server == number), None)
         if holder is None and holders:
             names = {f"{request.title}/{s.listing.server}".encode(): s for s in holders}
             holder = names[max(names, key=lambda name: hashlib.blake2b(name, digest_size=8).digest())]
-            self.tokens[request.title] = holder.listing.server
+        if holder:
+            self.tokens[request.title] = holder.listing.server  # behind all others
+        if len(self.tokens) > TOKENS_MOST:
+            del self.tokens[next(iter(self.tokens))]
         return holder
 
     def pass_token(self, session: Session, holders: list[Server], rung: int) -> Server | None:
@@ -378,7 +386,8 @@
         budget = told.budget_free + told.budget_ratio * self.requests.count(self.now, told.budget_span_us)
         spent = session.attempts and told.budget_span_us and self.further.count(self.now) + 1 > budget
         seated = not kind.seats or held(self.sessions, session) < kind.seats
-        may_send = session.attempts < told.max_attempts and left > 0 and not spent and seated
+        odd = not session.attempts and self.at_fault(request.title)
+        may_send = session.attempts < told.max_attempts and left > 0 and not spent and seated and not odd
         if (chosen := self.choose(session) if may_send else None) is None:
             return self.refuse(session, may_send)
         server, rung = chosen
@@ -425,7 +434,7 @@
             return
         sent_to, session.playing = session.server, False
         if server:
-            self.judge(server, event.outcome)
+            self.judge(server, event.outcome, event.concluded, session.request.title)
         self.forget(session)
         if not event.concluded:
             self.sessions[event.session] = session
@@ -433,19 +442,41 @@
                 session.may_have_run, session.may_have_run_us = sent_to, self.now
             self.place(session)
 
-    def judge(self, server: Server, outcome: api.Outcome) -> None:
+    def judge(self, server: Server, outcome: api.Outcome, concluded: bool, title: str) -> None:
         """Errors, time-outs, resets and failed connects all disqualify a server for a growing time."""
         server.trial = False
         if outcome is api.Outcome.SERVED:
             self.trust(server)
-        elif outcome is api.Outcome.FULL or (outcome is api.Outcome.TIMEOUT and self.settings.may_probe):
+            return
+        lost = outcome is api.Outcome.TIMEOUT or (outcome is api.Outcome.RESET and not concluded)
+        works = self.settings.may_probe and (
+            lost or (outcome is api.Outcome.ERROR and self.excused(server, title)))
+        if outcome is api.Outcome.FULL or works:
             # The token has to pass.  Guards against lost answers: only a server that works answers a probe.
             server.distrusted_until_us = max(server.distrusted_until_us, self.now + DISTRUST_US)
-            if outcome is api.Outcome.TIMEOUT:
+            if works:
                 self.probe(server)
         elif outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT):
             self.distrust(server, outcome.value)
 
+    def excused(self, server: Server, title: str) -> bool:
+        """Guards against viewers who ask for what no server can use, which would have all distrusted: a
+        server is at fault only once it errs for two titles, neither at fault, and serves none in between."""
+        number = server.listing.server
+        at, _ = self.odd.setdefault(title, (set(), 0))
+        at.add(number)
+        self.odd[title] = at, self.now
+        server.erred.add(title)
+        if self.at_fault(title):
+            for one in at & self.fleet.servers.keys():
+                self.fleet.servers[one].erred.discard(title)
+        return len(server.erred) < 2
+
+    def at_fault(self, title: str) -> bool:
+        """A title that erred at two servers lately, and was served nowhere since, errs everywhere."""
+        at, last_us = self.odd.get(title, (set[int](), 0))
+        return len(at) > 1 and self.now - last_us < DISTRUST_US
+
     def distrust(self, server: Server, why: str) -> None:
         if why != api.Outcome.ERROR.value:
             server.cold_since_us = self.now  # it may have restarted before the list says so
@@ -457,3 +488,4 @@
 
     def trust(self, server: Server) -> None:
         server.trial, server.failures = False, max(0, server.failures - 1)
+        server.erred.clear()
--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -15,6 +15,7 @@
     Settings,
 )
 
+HISTORY_US = 10_000_000  # bookings are remembered one by one for so long; loads older than that go unheard
 UNTOLD = 1e12  # stands for a limit that the settings do not tell
 
 
@@ -37,7 +38,8 @@
         if self.history and self.history[-1][0] == now_us:
             self.history.pop()
         self.history.append((now_us, self.booked))
-        while len(self.history) > 1 and self.history[1][0] <= self.described_us:
+        oldest_us = max(self.described_us, now_us - HISTORY_US)  # loads may never be told
+        while len(self.history) > 1 and self.history[1][0] <= oldest_us:
             self.history.popleft()
 
     def booked_at(self, moment_us: int) -> float:
@@ -65,6 +67,7 @@
     next_setup_us: int = 0  # own pace while it is cold
     failures: int = 0  # failures not yet made good
     distrusted_until_us: int = 0
+    erred: set[str] = field(default_factory=set)  # titles that erred here since it served one
     trial: bool = False  # an attempt of this instance is out on trial
 
     @property
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -184,10 +184,10 @@
     """The program as a process."""
 
     def __init__(self, folder: Path, pumps: list[Pump], log: ChangeLog, deploy: Path | None = None,
-                 **settings: Any) -> None:
+                 sockets: int = 1024, **settings: Any) -> None:
         known = {"seq": 1, "results": [log.event([pump.row() for pump in pumps], full=True)]}
         told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "changelog": log.address,
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known,
                 "settings": {**SETTINGS, **settings}}
         self.config, self.told = folder / "config.json", told
         self.config.write_text(json.dumps(told))
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -120,6 +120,8 @@
         first, second = program.connect(), program.connect()
         names = [ask(first, number) for number in (1, 2)]
         assert {answer(first).status for _ in names} == {200}
+        second.send("OPTIONS rtsp://media/ping RTSP/1.0", "00000000000000aa", 3)
+        assert answer(second).status == 200
         first.close()
         wire, _ = pumps[0].expect("SETUP")
         wire.send("TEARDOWN rtsp://media/x RTSP/1.0", names[0], 2, Reason="cause=41")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -179,3 +179,56 @@
             actions = drive.note(probes[0].server, link=0.2)
         assert sent(actions).session == session
         assert (sent(actions).server == asked[0].server) == (outcome is Outcome.SERVED)
+
+
+def test_an_odd_title_has_no_server_distrusted_and_stays_out_for_a_while() -> None:
+    """Guards against bad clients: each of their errors kept a server from all others for a second."""
+    drive = Drive(settings(may_probe=True, max_attempts=3))
+    for listing in drive.listings:
+        drive.note(listing.server, link=0.1)
+    session, actions = drive.ask("odd")
+    for attempt in range(3):
+        actions = drive.end(session, sent(actions).server, Outcome.ERROR, attempt)
+    assert of(api.Refuse, actions)
+    for probe in of(api.Probe, drive.log):
+        drive.note(probe.server, link=0.1)
+    servers = drive.controller.fleet.servers.values()
+    assert all(not x.failures and drive.now >= x.distrusted_until_us for x in servers)
+    assert of(api.Refuse, drive.ask("odd")[1]) and of(api.SetUp, drive.ask("usual")[1])
+    drive.now += 1_100_000
+    assert of(api.SetUp, drive.ask("odd")[1])
+
+
+def test_a_server_that_errs_for_two_titles_is_distrusted_though_it_answers_probes() -> None:
+    drive = Drive(settings(may_probe=True))
+    for listing in drive.listings:
+        drive.note(listing.server, link=0.1)
+    server = drive.controller.fleet.servers[10]
+    for title in ("a", "b"):
+        drive.controller.tokens[title] = 10
+        session, actions = drive.ask(title)
+        assert sent(actions).server == 10
+        drive.end(session, 10, Outcome.ERROR)
+        drive.note(10, link=0.1)
+    assert server.failures == 1 and drive.now < server.distrusted_until_us
+
+
+def test_a_set_up_that_was_reset_has_its_server_tested_and_not_taken_for_new() -> None:
+    """Guards against a lost connection taken for a restart: its server would be held to a cold one's pace."""
+    drive = Drive(settings(may_probe=True))
+    drive.note(10, link=0.1)
+    drive.controller.tokens["t"] = 10
+    session, actions = drive.ask()
+    assert of(api.Probe, drive.end(session, sent(actions).server, Outcome.RESET))
+    drive.note(10, link=0.1)
+    server = drive.controller.fleet.servers[10]
+    assert server.cold_since_us is None and drive.now >= server.distrusted_until_us
+
+
+def test_what_is_kept_is_bounded_by_what_lives() -> None:
+    """Guards against growth over long days: titles never asked for again, bookings no load was told of."""
+    drive = Drive()
+    for number in range(5000):
+        drive.tell(api.ViewerLeft(drive.ask(f"title-{number}")[0]), 10_000)
+    assert len(drive.controller.tokens) <= 4096
+    assert all(len(x.places.history) < 2500 for x in drive.controller.fleet.servers.values())
