Give each set-up a line of its own, and trust nothing on a line that was spoilt

Read and shown by tests, each of which fails without the change: all set-ups to a pump shared one line, so one spoilt answer failed all of them; a line that left a set-up unanswered went on taking others; half an answer had no deadline; an answer with too small a length was passed on as served; what a spoilt set-up left standing was never released. A line takes one set-up at a time as long as a quarter of the descriptors has room for more lines, is retired once a set-up on it timed out, and is dropped 0.4 s into an unfinished message. Messages are handed on when what follows them is seen to be no leavings.

--- a/cloverhinge/admin.py
+++ b/cloverhinge/admin.py
@@ -40,7 +40,7 @@
             "sessions": len(router.standing.get(number, {})),
             "link": load(servers[number].link) if number in servers else None,
             "uplink": load(servers[number].uplink) if number in servers else None,
-            "connected": number in pumps.pumps and pumps.pumps[number].line is not None,
+            "connected": number in pumps.pumps and bool(pumps.pumps[number].lines),
         } for number, box in sorted(boxes.items(), key=lambda x: x[1].name)],
         "sessions": [{
             "id": request.ask.name, "class": request.ask.class_name, "title": request.ask.title,
--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -1,4 +1,8 @@
-"""Towards the pumps: a pool with one line to each listed pump, probes, and the watch for silent machines."""
+"""Towards the pumps: a few lines to each listed pump, probes, and the watch for silent machines.
+
+A set-up has its line for itself as long as there are lines enough, so that an answer which is spoilt, late or
+never comes costs no other set-up.  After anything unreadable nothing on that line is trusted.
+"""
 
 from __future__ import annotations
 
@@ -28,6 +32,9 @@
 RETRY_MS = (200.0, 2000.0)  # pause before a failed connection is tried again
 IDLE_SHARE = 0.6  # of the time after which idle connections are closed, a line is replaced
 RETIRE_MS = 1500.0  # a replaced line is read for so long after its end was announced
+PARTIAL_MS = 400.0  # a message that is not whole so long after its first part never will be
+SPARE_MS = 5000.0  # a line beyond the first that carried no set-up for so long is closed
+LINES_MOST = 8  # to one pump; as many as there are set-ups under way to it at once on the busiest days
 HELD_MOST = 256  # releases kept for a pump that can't be reached
 REFUSALS = {453: Outcome.FULL, 454: Outcome.MOOT, 504: Outcome.RESET}
 RELEASES = {"16": Outcome.SERVED, "31": Outcome.CANCELLED, "41": Outcome.RESET}
@@ -74,24 +81,50 @@
     def __init__(self, pump: Pump) -> None:
         super().__init__()
         self.pump = pump
-        self.since_ms = 0.0
+        self.since_ms = self.used_ms = 0.0
         self.closing_ms: float | None = None  # half-closed since
         self.attempts: dict[str, Attempt] = {}
         self.probes: dict[str, Probe] = {}
+        self.whole: list[rtsp.Message] = []  # read, and not handed on yet
+        self.partial: Key | None = None
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self.pump.up(self)
 
+    def dataReceived(self, data: bytes) -> None:
+        """Guards against an answer whose length is wrong: what has been read is handed on once what follows
+        it is seen to be none of its leavings, and a message that stays unfinished ends the line."""
+        deadlines, known = self.pump.pool.deadlines, len(self.whole)
+        super().dataReceived(data)
+        if not self.midway or self.gone or len(self.whole) > known:
+            deadlines.cancel(self.partial)
+            self.partial = None
+        if self.gone:
+            return
+        if self.midway:
+            self.partial = self.partial or deadlines.after(PARTIAL_MS, self.drop)
+            return
+        whole, self.whole = self.whole, []
+        for message in whole:
+            try:
+                self.pump.read(self, message)
+            except rtsp.Malformed as error:
+                self.malformed(error, message)
+
     def received(self, message: rtsp.Message) -> None:
-        self.pump.heard_ms = self.pump.pool.clock.now()
-        if message.status:
-            self.pump.answer(self, message)
-        else:
-            self.pump.told(self, message)
+        self.whole.append(message)
+
+    def malformed(self, error: rtsp.Malformed, message: rtsp.Message | None = None) -> None:
+        if message is not None:
+            super().malformed(error, message)
+            return
+        self.pump.pool.log.info("pump {name}: unreadable: {error}", name=self.pump.box.name, error=str(error))
+        self.drop()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.gone = True
+        self.pump.pool.deadlines.cancel(self.partial)
         self.pump.down(self)
 
 
@@ -121,9 +154,10 @@
 
     pool: Pumps
     box: Box
-    line: PumpLine | None = None
+    lines: list[PumpLine] = field(default_factory=list)  # for set-ups, the oldest first
     retiring: list[PumpLine] = field(default_factory=list)
-    opening: bool = False
+    opening: int = 0  # connections on their way
+    replacing: bool = False  # the next one to come up takes the place of all
     waiting: list[Attempt | Probe] = field(default_factory=list)
     held: deque[bytes] = field(default_factory=lambda: deque(maxlen=HELD_MOST))
     heard_ms: float = 0.0
@@ -132,64 +166,74 @@
     listed: bool = True
 
     def open(self) -> None:
+        self.opening += 1
+        _Connect(self)
+
+    def replace(self) -> None:
+        self.replacing = True
         if not self.opening:
-            self.opening = True
-            _Connect(self)
+            self.open()
 
     def up(self, line: PumpLine) -> None:
-        self.opening, self.retry_ms = False, RETRY_MS[0]
-        line.since_ms = self.heard_ms = self.pool.clock.now()
+        self.opening, self.retry_ms = self.opening - 1, RETRY_MS[0]
+        line.since_ms = line.used_ms = self.heard_ms = self.pool.clock.now()
         if not self.listed:
             line.close()
             return
-        if self.line is not None:
-            self.retire(self.line)
-        self.line = line
+        if self.replacing:
+            self.replacing = False
+            for old in list(self.lines):
+                self.retire(old)
+        self.lines.append(line)
         while self.held:
             line.send(self.held.popleft())
-        waiting, self.waiting = self.waiting, []
-        for one in waiting:
-            self.write(line, one)
+        self.flush()
 
     def retire(self, line: PumpLine) -> None:
-        """A replaced line is half-closed only when no set-up is open on it, and read until the pump closes.
+        """A retired line takes no set-up; it is half-closed once none is open on it, and read until the pump
+        closes.
 
         Guards against losing a release that is on its way while the line is closed.
         """
-        self.retiring.append(line)
-        if self.line is line:
-            self.line = None
+        if line in self.lines:
+            self.lines.remove(line)
+            self.retiring.append(line)
 
     def unreached(self, refused: bool) -> None:
-        self.opening = False
+        self.opening -= 1
         now = self.pool.clock.now()
         self.retry_at_ms, self.retry_ms = now + self.retry_ms, min(self.retry_ms * 2, RETRY_MS[1])
+        if self.lines:
+            self.flush()
+            return
         waiting, self.waiting = self.waiting, []
         for one in waiting:
             if isinstance(one, Attempt):
                 self.pool.router.attempt_ended(one, Outcome.CONNECT_FAILED)
             else:
                 self.pool.probe_ended(one, Outcome.CONNECT_FAILED)
-        if refused and self.line is None:
+        if refused and not self.lines:
             self.pool.router.cut_all(self.box.number)  # no process is there that could hold a session
 
     def down(self, line: PumpLine) -> None:
-        if line in self.retiring:
-            self.retiring.remove(line)
-        if self.line is line:
-            self.line = None
-        for attempt in list(line.attempts.values()):
-            self.pool.router.attempt_ended(attempt, Outcome.RESET)
-        for probe in list(line.probes.values()):
-            self.pool.probe_ended(probe, Outcome.RESET)
+        for lines in (self.lines, self.retiring):
+            if line in lines:
+                lines.remove(line)
+        attempts, probes = list(line.attempts.values()), list(line.probes.values())
         line.attempts.clear()
         line.probes.clear()
-        if self.listed and self.line is None:
+        if self.listed and not self.lines and not self.opening:
             now = self.pool.clock.now()
             if now - line.since_ms >= SHORT_MS:
                 self.open()
             else:  # guards against a pump that takes connections and closes them at once
                 self.retry_at_ms = now + RETRY_MS[0]
+        for attempt in attempts:
+            # It may have run, and may stand there for nobody.
+            self.tell(release(attempt.request.ask.name, Cause.CANCELLED))
+            self.pool.router.attempt_ended(attempt, Outcome.RESET)
+        for probe in probes:
+            self.pool.probe_ended(probe, Outcome.RESET)
 
     def write(self, line: PumpLine, one: Attempt | Probe) -> None:
         if isinstance(one, Probe):
@@ -199,7 +243,7 @@
         if not self.pool.router.may_write(one):
             return
         ask = one.request.ask
-        line.attempts[ask.name] = one
+        line.attempts[ask.name], line.used_ms = one, self.pool.clock.now()
         fields = {"X-Call-Class": ask.class_name,
                   "X-Ring-Limit": str(max(1, round(one.until_ms - self.pool.clock.now())))}
         if one.request.rung is not None:
@@ -207,22 +251,42 @@
         line.send(rtsp.request("SETUP", f"rtsp://media/{ask.title}", 1, ask.name, fields, ask.body))
 
     def submit(self, one: Attempt | Probe) -> None:
-        if self.line is not None and not self.line.gone:
-            self.write(self.line, one)
-        else:
-            self.waiting.append(one)
-            self.open()
+        self.waiting.append(one)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what waits: each set-up on a line for itself, on a shared one where there are no more."""
+        while self.waiting:
+            line = next((x for x in self.lines if not x.attempts and not x.midway), None)
+            if line is None and len(self.lines) + self.opening < self.pool.lines_most():
+                if self.opening < len(self.waiting):
+                    self.open()
+                return
+            if line is None and self.opening:
+                return
+            if line is None:
+                line = min(self.lines, key=lambda x: len(x.attempts))
+            self.write(line, self.waiting.pop(0))
 
     def tell(self, data: bytes) -> None:
         """Something on a session that stands, on any line; kept for the next one where there is none."""
-        if self.line is not None:
-            self.line.send(data)
+        if self.lines:
+            self.lines[0].send(data)
         else:
             self.held.append(data)
-            self.open()
+            if self.listed and not self.opening and self.pool.clock.now() >= self.retry_at_ms:
+                self.open()
 
-    def lines(self) -> list[PumpLine]:
-        return self.retiring + ([self.line] if self.line is not None else [])
+    def all_lines(self) -> list[PumpLine]:
+        return self.retiring + self.lines
+
+    def read(self, line: PumpLine, message: rtsp.Message) -> None:
+        self.heard_ms = self.pool.clock.now()
+        if message.status:
+            self.answer(line, message)
+        else:
+            self.told(line, message)
+        self.flush()
 
     def answer(self, line: PumpLine, message: rtsp.Message) -> None:
         name, router = message.session, self.pool.router
@@ -242,7 +306,7 @@
             # Guards against a session that stands for nobody: its set-up was given up while this was coming.
             standing = router.by_name.get(name)
             if standing is None or standing.server != self.box.number:
-                line.send(release(name, Cause.CANCELLED))
+                self.tell(release(name, Cause.CANCELLED))
 
     def told(self, line: PumpLine, message: rtsp.Message) -> None:
         name, router = message.session, self.pool.router
@@ -275,21 +339,24 @@
                 transport.loseWriteConnection()
         if not self.listed:
             return
-        if self.line is None:
-            if now >= self.retry_at_ms:
+        for line in self.lines[1:]:
+            if now - line.used_ms > SPARE_MS:
+                self.retire(line)
+        if not self.lines:
+            if now >= self.retry_at_ms and not self.opening:
                 self.open()
-        elif now - self.line.since_ms > IDLE_SHARE * self.pool.idle_ms:
-            self.open()
+        elif now - self.lines[0].since_ms > IDLE_SHARE * self.pool.idle_ms:
+            self.replace()
         standing = self.pool.router.standing.get(self.box.number)
         if not standing:
             return
         if now - self.heard_ms > DEAD_MS:
             self.pool.log.warn("pump {name}: silent, its sessions are taken as lost", name=self.box.name)
-            for line in self.lines():
+            for line in self.all_lines():
                 line.drop()
             self.pool.router.cut_all(self.box.number)
         elif now - self.heard_ms > SILENT_MS and now >= self.retry_at_ms:
-            self.open()
+            self.replace()
 
     def unlist(self) -> None:
         self.listed = False
@@ -299,8 +366,8 @@
                 self.pool.router.attempt_ended(one, Outcome.MOOT)
             else:
                 self.pool.probe_ended(one, Outcome.CONNECT_FAILED)
-        if self.line is not None:
-            self.retire(self.line)
+        for line in list(self.lines):
+            self.retire(line)
 
 
 def release(name: str, cause: Cause) -> bytes:
@@ -313,9 +380,9 @@
     log = Logger()
 
     def __init__(self, reactor: Any, router: Router, clock: Clock, deadlines: Deadlines,
-                 connect_ms: float, idle_ms: float) -> None:
+                 connect_ms: float, idle_ms: float, sockets: int) -> None:
         self.reactor, self.router, self.clock, self.deadlines = reactor, router, clock, deadlines
-        self.connect_ms, self.idle_ms = connect_ms, idle_ms
+        self.connect_ms, self.idle_ms, self.sockets = connect_ms, idle_ms, sockets
         self.pumps: dict[int, Pump] = {}
         self.unlisted: list[Pump] = []
         self.probe_count = 0
@@ -328,7 +395,7 @@
         now = self.clock.now()
         for pump in [*self.pumps.values(), *self.unlisted]:
             pump.sweep(now)
-        self.unlisted = [pump for pump in self.unlisted if pump.lines()]
+        self.unlisted = [pump for pump in self.unlisted if pump.all_lines()]
         self.deadlines.after(SWEEP_MS, self._sweep)
 
     def list(self, boxes: dict[int, Box]) -> None:
@@ -342,6 +409,10 @@
                 pump = self.pumps[number] = Pump(self, box, heard_ms=self.clock.now())
                 pump.open()
 
+    def lines_most(self) -> int:
+        """To one pump; all together take a quarter of the descriptors at most."""
+        return max(1, min(LINES_MOST, self.sockets // 4 // max(1, len(self.pumps))))
+
     # Boxes
 
     def set_up(self, attempt: Attempt) -> None:
@@ -356,10 +427,12 @@
         for one in [pump] if pump else self.unlisted:
             if attempt in one.waiting:
                 one.waiting.remove(attempt)
-            for line in one.lines():
+            for line in one.all_lines():
                 if line.attempts.get(name) is attempt:
                     del line.attempts[name]
                     line.send(rtsp.request("TEARDOWN", "rtsp://media/session", 2, name))
+                    if self.clock.now() >= attempt.until_ms:  # a line that left a set-up unanswered is spent
+                        one.retire(line)
 
     def release(self, request: Request, cause: Cause) -> None:
         pump = self.pumps.get(request.server or 0)
@@ -390,6 +463,7 @@
         if pump is not None:
             if probe in pump.waiting:
                 pump.waiting.remove(probe)
-            for line in pump.lines():
-                line.probes.pop(probe.name, None)
+            for line in pump.all_lines():
+                if line.probes.pop(probe.name, None) is not None and outcome is Outcome.TIMEOUT:
+                    pump.retire(line)
         self.router.probed(probe.server, outcome, self.clock.now() - probe.started_ms, report)
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -40,7 +40,7 @@
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         self.router = Router(config.settings, config.seed, self.clock, self.deadlines)
         self.pumps = Pumps(reactor, self.router, self.clock, self.deadlines, config.connect_ms,
-                           config.idle_ms)
+                           config.idle_ms, config.sockets)
         self.front = Front(self.router, self.pumps, self.clock, self.deadlines, most=config.sockets // 2)
         self.boxes: dict[int, Box] = {}
         self.changelog = ChangeLog(reactor, config.changelog, config.seq, self.deadlines, self.change,
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -14,6 +14,53 @@
 from tests.stand import Message, Pump, Wire, answer, ask, site
 
 
+def raw(wire: Wire, name: str, length: int | str, body: bytes) -> None:
+    wire.sock.sendall(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %b\r\nContent-Length: %b\r\n\r\n%b"
+                      % (name.encode(), str(length).encode(), body))
+
+
+SPOILT: list[Any] = [
+    lambda wire, name: wire.sock.sendall(b"\x00\xfe\xff noise \r\n\r\n"),
+    lambda wire, name: raw(wire, name, 4, b"made by a pump"),  # too short: leavings follow
+    lambda wire, name: raw(wire, name, 400, b"made by a pump"),  # too long: it never ends
+    lambda wire, name: raw(wire, name, 3_000_000_000, b"made"),
+    lambda wire, name: wire.sock.sendall(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSess"),
+    lambda wire, name: wire.sock.shutdown(socket.SHUT_RDWR)]
+
+
+@pytest.mark.parametrize("spoil", SPOILT)
+def test_a_spoilt_answer_costs_its_own_set_up_alone(tmp_path: Path, spoil: Any) -> None:
+    """The paid set-up has run, so it fails; the one beside it is served; what stands for none is released."""
+    with site(tmp_path, 1) as (program, pumps, _):
+        pumps[0].script = pumps[0].hold
+        viewer = program.connect()
+        paid, free = ask(viewer, 1, "paid"), ask(viewer, 2)
+        at = {message.session: wire for wire, message in (pumps[0].expect("SETUP") for _ in range(2))}
+        spoil(at[paid], paid)
+        failed = answer(viewer)
+        assert failed.session == paid and failed.status in (500, 504)
+        at[free].send("RTSP/1.0 200 OK", free, body=b"made")
+        served = answer(viewer)
+        assert (served.session, served.status, served.body) == (free, 200, b"made")
+        assert pumps[0].expect("TEARDOWN")[1].session == paid
+        assert sorted(pumps[0].setups) == [paid, free]
+
+
+def test_a_line_that_left_a_set_up_unanswered_takes_no_other(tmp_path: Path) -> None:
+    with site(tmp_path, 1) as (program, pumps, _):
+        pumps[0].script = pumps[0].hold
+        viewer = program.connect()
+        ask(viewer, 1, "paid", wait_ms=400)
+        spent, _ = pumps[0].expect("SETUP")
+        assert answer(viewer).status == 504
+        pumps[0].script = pumps[0].accept
+        for number in range(2, 200):  # until a test has shown that the pump works
+            ask(viewer, number, "paid")
+            if answer(viewer).status == 200:
+                break
+        assert pumps[0].expect("SETUP")[0] is not spent
+
+
 def test_a_request_that_no_pump_can_use_keeps_no_other_from_them(tmp_path: Path) -> None:
     """Guards against pumps distrusted for what a bad client asks: the usual ones would be refused."""
     def script(pump: Pump) -> Any:
