Close silent and trickling clients in time, and tell releases to viewers only

Front.tell() chose any connection of the host, else the first of all, and 4,962 connections had never said anything; Front.up() evicted the longest idle, which are the usual viewers' during a flood. Ruled out: lateness (1 ms to the first attempt) and descriptors (543 of 1,024). A connection that has brought no whole message 2.5 s after it was taken is closed, and so is one whose message is not whole 2 s after its first byte; bytes renew neither. Room is made by what said nothing first, and by what sessions were set up on last. Releases go to connections that have spoken. A session handed over at a box that is not listed is told over at once, since nothing would ever end it, and handed-over ones fill half of the table at most. The seats are counted by title instead of over all requests.

--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -46,6 +46,7 @@
         self.controller = Controller(settings, seed)
         self.requests: Table[Request] = Table(most_requests)
         self.by_name: dict[str, Request] = {}
+        self.by_title: dict[str, set[Request]] = {}
         self.standing: dict[int, dict[int, Request]] = {}  # by server, then by handle
         self.listings: dict[int, api.ServerListing] = {}
         self.counters = Counters()
@@ -111,8 +112,15 @@
         return request
 
     def carry(self, ask: Ask, server: int, viewer: Viewer, boxes: Boxes) -> Request | None:
-        """A session that plays already.  One that is held already stays as it is."""
-        if self.requests.full or ask.name in self.by_name:
+        """A session that plays already.  One that is held already stays as it is.
+
+        Guards against sessions that nothing would ever end, as their box was never listed, and against new
+        requests that find the table full of handed-over ones.
+        """
+        if ask.name in self.by_name:
+            return None
+        if server not in self.listings or 2 * len(self.requests) >= self.requests.most:
+            viewer.released(Cause.CUT)
             return None
         request = self._hold(ask, viewer, boxes, self.clock.now())
         request.attempts = 1
@@ -126,6 +134,7 @@
                           now + max(0.0, ask.wait_ms - ANSWER_MARGIN_MS))
         request.handle = self.requests.put(request)
         self.by_name[ask.name] = request
+        self.by_title.setdefault(ask.title, set()).add(request)
         return request
 
     def _requested(self, request: Request, server: int | None = None) -> api.SessionRequested:
@@ -172,8 +181,7 @@
     def _may_attempt(self, request: Request, server: int) -> bool:
         kind = request.kind
         seated = not kind.seats or 1 + sum(
-            1 for other in self.requests if other is not request and other.kind is kind
-            and other.ask.title == request.ask.title
+            1 for other in self.by_title[request.ask.title] if other is not request and other.kind is kind
             and (other.state is State.STANDS or other.attempt is not None)) <= kind.seats
         return (holds(request.attempt is None, "one attempt out at a time")
                 and holds(not (request.may_have_run and kind.effect is Effect.ONCE), "paid set-up sent once")
@@ -263,6 +271,10 @@
         self.requests.free(request.handle)
         if self.by_name.get(request.ask.name) is request:
             del self.by_name[request.ask.name]
+        of_title = self.by_title[request.ask.title]
+        of_title.remove(request)
+        if not of_title:
+            del self.by_title[request.ask.title]
 
     def _refuse(self, session: int, hold_off_ms: float) -> None:
         request = self.requests.get(session)
--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -18,8 +18,9 @@
 from cloverhinge.net import rtsp
 from cloverhinge.net.changelog import number_of
 
-SWEEP_MS = 1000.0
-PARTIAL_MS = 10_000.0  # a message that is not whole after so long never will be
+SWEEP_MS = 250.0
+SILENT_MS = 2500.0  # a connection that has brought no whole message so long after it was taken is closed
+PARTIAL_MS = 2000.0  # so is one whose message is not whole so long after its first byte
 HELD_MS = 8000.0  # a release waits so long for a connection of its viewers
 HELD_MOST = 2048
 BUSY_HOLD_OFF_MS = 1000.0  # told where every slot for requests is taken
@@ -56,14 +57,34 @@
         self.front, self.peer = front, peer
         self.handle = 0
         self.open: dict[str, Request] = {}  # set-ups that are owed an answer here
-        self.heard_ms = 0.0
+        self.standing = 0  # sessions that were set up on it
+        self.spoken = False  # a whole message has come
+        self.since_ms = 0.0  # the connection's start
+        self.heard_ms = 0.0  # its last whole message
+        self.partial_ms: float | None = None  # the first byte of the message that is not whole yet
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self.front.up(self)
 
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        if not self.midway:
+            self.partial_ms = None
+        elif self.partial_ms is None:
+            self.partial_ms = self.front.clock.now()
+
+    def overdue(self, now: float) -> bool:
+        """Guards against clients that say nothing, or say it byte by byte: no byte renews the time."""
+        if not self.spoken:
+            return now - self.since_ms > SILENT_MS
+        return self.partial_ms is not None and now - self.partial_ms > PARTIAL_MS
+
     def received(self, message: rtsp.Message) -> None:
-        self.heard_ms = self.front.clock.now()
+        self.heard_ms, self.partial_ms = self.front.clock.now(), None
+        if not self.spoken:
+            self.spoken = True
+            self.front.spoke(self)
         cseq, name = message.headers.get("cseq", "0"), message.session
         if message.status:
             return  # a viewer heard a release
@@ -74,6 +95,7 @@
             request = self.front.router.by_name.get(name)
             if request is not None and isinstance(request.viewer, RtspViewer):
                 request.viewer.line_done()
+                request.viewer.stands(False)
                 self.front.router.leave(request)
         elif message.method == "OPTIONS":
             self.send(rtsp.response(200 if self.front.ready else 503, cseq, name))
@@ -90,6 +112,7 @@
 
     def __init__(self, front: Front, line: ViewerLine, name: str) -> None:
         self.front, self.handle, self.peer, self.name = front, line.handle, line.peer, name
+        self.standing = False
 
     def line_done(self) -> ViewerLine | None:
         """Nothing is owed on its connection any more; the connection, where it is still open."""
@@ -98,12 +121,19 @@
             line.open.pop(self.name, None)
         return line
 
+    def stands(self, now: bool) -> None:
+        line = self.front.lines.get(self.handle)
+        if line is not None and now != self.standing:
+            line.standing += 1 if now else -1
+        self.standing = now
+
     def _answer(self, status: int, fields: dict[str, str] | None = None, body: bytes = b"") -> None:
         line = self.line_done()
         if line is not None:
             line.send(rtsp.response(status, "1", self.name, fields, body))
 
     def served(self, answer: bytes) -> None:
+        self.stands(True)
         self._answer(200, None, answer)
 
     def refused(self, hold_off_ms: float) -> None:
@@ -113,10 +143,12 @@
         self._answer(504 if why is Outcome.TIMEOUT else 500)
 
     def released(self, cause: Cause) -> None:
+        self.stands(False)
         self.front.tell(self, rtsp.request("TEARDOWN", "rtsp://media/session", 2, self.name,
                                            {"Reason": f"cause={cause.value}"}))
 
     def moved(self) -> None:
+        self.stands(False)
         self.front.tell(self, rtsp.request("REDIRECT", "rtsp://media/session", 5, self.name))
 
 
@@ -137,18 +169,18 @@
         return ViewerLine(self, str(getattr(addr, "host", "")))
 
     def up(self, line: ViewerLine) -> None:
-        line.heard_ms = self.clock.now()
+        line.since_ms = line.heard_ms = self.clock.now()
         if self.lines.full:
-            # Guards the descriptors: the longest idle connection without an open set-up makes room.
-            idle = min((x for x in self.lines if not x.open), key=lambda x: x.heard_ms, default=None)
+            # Guards the descriptors, and usual viewers against floods: what has said nothing makes room
+            # first, then what no session was set up on, the longest idle of its kind.
+            idle = min((x for x in self.lines if not x.open), default=None,
+                       key=lambda x: (x.spoken, x.standing > 0, x.heard_ms))
             if idle is None:
                 line.drop()
                 return
             self.lines.free(idle.handle)
             idle.close()
         line.handle = self.lines.put(line)
-        while self.held:
-            line.send(self.held.popleft()[1])
 
     def down(self, line: ViewerLine) -> None:
         if line.handle:
@@ -164,7 +196,8 @@
             raise rtsp.Malformed("unknown class", 400)
         viewer = RtspViewer(self, line, ask.name)
         if at:
-            self.router.carry(ask, number_of(at), viewer, self.boxes)
+            if self.router.carry(ask, number_of(at), viewer, self.boxes) is not None:
+                viewer.stands(True)
         elif ask.name in self.router.by_name:
             line.send(rtsp.response(455, "1", ask.name))
         elif (request := self.router.take(ask, viewer, self.boxes)) is None:
@@ -173,21 +206,28 @@
             line.open[ask.name] = request
 
     def tell(self, viewer: RtspViewer, data: bytes) -> None:
-        """Towards whoever holds the session: on its connection, else on one of its host, else on any."""
+        """Towards whoever holds the session: on its connection, else on the last of its host to speak, else
+        on the last of all.  Guards against releases told to a connection that is no viewer's."""
         line = self.lines.get(viewer.handle)
         if line is None or line.gone:
-            live = [x for x in self.lines if not x.gone]
-            line = next((x for x in live if x.peer == viewer.peer), live[0] if live else None)
+            spoken = [x for x in self.lines if x.spoken and not x.gone]
+            spoken.sort(key=lambda x: (x.peer == viewer.peer, x.heard_ms))
+            line = spoken[-1] if spoken else None
         if line is not None:
             line.send(data)
         else:
             self.held.append((self.clock.now(), data))
 
+    def spoke(self, line: ViewerLine) -> None:
+        """The first whole message on a connection: it is a viewer's."""
+        while self.held:
+            line.send(self.held.popleft()[1])
+
     def _sweep(self) -> None:
         now = self.clock.now()
         while self.held and now - self.held[0][0] > HELD_MS:
             self.held.popleft()
         for line in self.lines:
-            if line.midway and now - line.heard_ms > PARTIAL_MS:
-                line.drop()
+            if line.overdue(now):
+                line.close()
         self.deadlines.after(SWEEP_MS, self._sweep)
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -14,6 +14,56 @@
 from tests.stand import Message, Pump, Wire, answer, ask, site
 
 
+def test_who_says_nothing_or_trickles_is_closed_within_3_s_and_an_idle_viewer_is_not(tmp_path: Path) -> None:
+    """Guards the descriptors: bytes that complete no message renew nothing."""
+    with site(tmp_path, 1) as (program, _, _log):
+        viewer, silent, slow = (program.connect() for _ in range(3))
+        viewer.send("OPTIONS rtsp://media/ping RTSP/1.0", "00000000000000aa", 3)
+        assert answer(viewer).status == 200
+        started, ended = time.monotonic(), threading.Event()
+
+        def trickle() -> None:
+            with suppress(OSError):
+                for byte in b"SETUP rtsp://media/x RTSP/1.0\r\n" * 20:
+                    slow.sock.sendall(bytes([byte]))
+                    if ended.wait(0.05):
+                        return
+
+        threading.Thread(target=trickle, daemon=True).start()
+        assert silent.read() is None and slow.read() is None
+        ended.set()
+        assert 2.0 < time.monotonic() - started < 3.0
+        ask(viewer, 1)
+        assert answer(viewer).status == 200
+
+
+def test_a_flood_of_silent_connections_displaces_no_viewer_and_hears_no_release(tmp_path: Path) -> None:
+    """Guards against releases told to strangers, and against the table emptied of viewers by a flood."""
+    with site(tmp_path, 1, sockets=64) as (program, pumps, _):
+        gone, viewer = program.connect(), program.connect()
+        names = [ask(gone, 1), ask(viewer, 2)]
+        assert answer(gone).status == 200 and answer(viewer).status == 200
+        gone.close()
+        flood = [program.connect() for _ in range(100)]  # the table holds 32
+        wire, _ = pumps[0].expect("SETUP")
+        for name in names:
+            wire.send("TEARDOWN rtsp://media/x RTSP/1.0", name, 2, Reason="cause=41")
+            assert answer(viewer, "TEARDOWN").session == name
+        for stranger in flood:
+            stranger.close()
+
+
+def test_a_session_handed_over_at_a_box_that_is_not_listed_is_over(tmp_path: Path) -> None:
+    """Guards against sessions that nothing ends."""
+    with site(tmp_path, 1) as (program, _, _log):
+        viewer = program.connect()
+        name = ask(viewer, 1, dest="home:0;copies:3;top:1;viewer:aa;at:s-0badbad0")
+        gone = answer(viewer, "TEARDOWN")
+        assert (gone.session, gone.headers["reason"]) == (name, "cause=41")
+        ask(viewer, 1)  # its id is free again
+        assert answer(viewer).status == 200
+
+
 def raw(wire: Wire, name: str, length: int | str, body: bytes) -> None:
     wire.sock.sendall(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %b\r\nContent-Length: %b\r\n\r\n%b"
                       % (name.encode(), str(length).encode(), body))
