Find who makes room for a connection without a look at all of them

Ruled out: reading (1.1 s) and the module (under 1 s) as the first cost. Lines now stand in four ranks kept in order (silent, resting, holding sessions, owed an answer). Connections on their way out are counted too, so a flood within one round of the reactor can't take more descriptors than planned.

--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -21,6 +21,7 @@
 SWEEP_MS = 250.0
 SILENT_MS = 2500.0  # a connection that has brought no whole message so long after it was taken is closed
 PARTIAL_MS = 2000.0  # so is one whose message is not whole so long after its first byte
+CLOSING_SHARE = 1 / 3  # of the table's size: connections on their way out, beside a full table
 HELD_MS = 8000.0  # a release waits so long for a connection of its viewers
 HELD_MOST = 2048
 BUSY_HOLD_OFF_MS = 1000.0  # told where every slot for requests is taken
@@ -56,6 +57,7 @@
         super().__init__()
         self.front, self.peer = front, peer
         self.handle = 0
+        self.rank: dict[int, ViewerLine] = front.silent
         self.open: dict[str, Request] = {}  # set-ups that are owed an answer here
         self.standing = 0  # sessions that were set up on it
         self.spoken = False  # a whole message has come
@@ -85,6 +87,7 @@
         if not self.spoken:
             self.spoken = True
             self.front.spoke(self)
+        self.front.arrange(self)
         cseq, name = message.headers.get("cseq", "0"), message.session
         if message.status:
             return  # a viewer heard a release
@@ -117,14 +120,15 @@
     def line_done(self) -> ViewerLine | None:
         """Nothing is owed on its connection any more; the connection, where it is still open."""
         line = self.front.lines.get(self.handle)
-        if line is not None:
-            line.open.pop(self.name, None)
+        if line is not None and line.open.pop(self.name, None) is not None:
+            self.front.arrange(line)
         return line
 
     def stands(self, now: bool) -> None:
         line = self.front.lines.get(self.handle)
         if line is not None and now != self.standing:
             line.standing += 1 if now else -1
+            self.front.arrange(line)
         self.standing = now
 
     def _answer(self, status: int, fields: dict[str, str] | None = None, body: bytes = b"") -> None:
@@ -159,32 +163,53 @@
     def __init__(self, router: Router, boxes: Boxes, clock: Clock, deadlines: Deadlines, most: int) -> None:
         self.router, self.boxes, self.clock, self.deadlines = router, boxes, clock, deadlines
         self.lines: Table[ViewerLine] = Table(most)
+        # Who makes room when the table is full: the first of the first that is not empty.
+        self.silent: dict[int, ViewerLine] = {}  # by handle, the earliest taken first
+        self.resting: dict[int, ViewerLine] = {}  # spoke, no session stands; the longest silent first
+        self.holding: dict[int, ViewerLine] = {}  # sessions that were set up on it stand; as before
+        self.busy: dict[int, ViewerLine] = {}  # owed an answer: they stay
+        self.connections = 0  # those on their way out included
         self.held: deque[tuple[float, bytes]] = deque(maxlen=HELD_MOST)
         self.ready = True
 
     def start(self) -> None:
         self._sweep()
 
-    def buildProtocol(self, addr: IAddress | None) -> ViewerLine:
+    def buildProtocol(self, addr: IAddress | None) -> ViewerLine | None:
+        """Guards the descriptors: one that was told to make room is gone only in the reactor's next round."""
+        if self.connections >= self.lines.most * (1 + CLOSING_SHARE):
+            return None
         return ViewerLine(self, str(getattr(addr, "host", "")))
 
     def up(self, line: ViewerLine) -> None:
+        self.connections += 1
         line.since_ms = line.heard_ms = self.clock.now()
         if self.lines.full:
-            # Guards the descriptors, and usual viewers against floods: what has said nothing makes room
-            # first, then what no session was set up on, the longest idle of its kind.
-            idle = min((x for x in self.lines if not x.open), default=None,
-                       key=lambda x: (x.spoken, x.standing > 0, x.heard_ms))
+            # Guards the descriptors, and usual viewers against floods.
+            idle = next((x for x in (self.silent, self.resting, self.holding) if x), None)
             if idle is None:
                 line.drop()
                 return
-            self.lines.free(idle.handle)
-            idle.close()
+            first = next(iter(idle.values()))
+            self.take_out(first)
+            first.close()
         line.handle = self.lines.put(line)
+        self.silent[line.handle] = line
+
+    def arrange(self, line: ViewerLine) -> None:
+        """Behind all others of the rank that is its now."""
+        if line.handle and line.rank.pop(line.handle, None) is not None:
+            line.rank = (self.busy if line.open else self.silent if not line.spoken
+                         else self.holding if line.standing else self.resting)
+            line.rank[line.handle] = line
+
+    def take_out(self, line: ViewerLine) -> None:
+        self.lines.free(line.handle)
+        line.rank.pop(line.handle, None)
 
     def down(self, line: ViewerLine) -> None:
-        if line.handle:
-            self.lines.free(line.handle)
+        self.connections -= 1
+        self.take_out(line)
         for request in list(line.open.values()):
             if request.state is State.OPEN:
                 self.router.leave(request)
@@ -204,6 +229,7 @@
             line.send(rtsp.response(503, "1", ask.name, {"X-Hold-Off": str(round(BUSY_HOLD_OFF_MS))}))
         elif request.state is State.OPEN:
             line.open[ask.name] = request
+            self.arrange(line)
 
     def tell(self, viewer: RtspViewer, data: bytes) -> None:
         """Towards whoever holds the session: on its connection, else on the last of its host to speak, else
--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -410,8 +410,8 @@
                 pump.open()
 
     def lines_most(self) -> int:
-        """To one pump; all together take a quarter of the descriptors at most."""
-        return max(1, min(LINES_MOST, self.sockets // 4 // max(1, len(self.pumps))))
+        """To one pump; all together take a fifth of the descriptors at most."""
+        return max(1, min(LINES_MOST, self.sockets // 5 // max(1, len(self.pumps))))
 
     # Boxes
 
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -41,7 +41,7 @@
         self.router = Router(config.settings, config.seed, self.clock, self.deadlines)
         self.pumps = Pumps(reactor, self.router, self.clock, self.deadlines, config.connect_ms,
                            config.idle_ms, config.sockets)
-        self.front = Front(self.router, self.pumps, self.clock, self.deadlines, most=config.sockets // 2)
+        self.front = Front(self.router, self.pumps, self.clock, self.deadlines, most=config.sockets * 3 // 8)
         self.boxes: dict[int, Box] = {}
         self.changelog = ChangeLog(reactor, config.changelog, config.seq, self.deadlines, self.change,
                                    random.Random(config.seed))
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -5,13 +5,23 @@
 import socket
 import threading
 import time
+from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
+from cloverhinge.core.clock import ManualClock
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.core.model import Boxes
+from cloverhinge.core.router import Router
+from cloverhinge.core.slots import Table
+from cloverhinge.net import rtsp
+from cloverhinge.net.front import Front, RtspViewer, ViewerLine
+from tests.helpers import settings
 from tests.stand import Message, Pump, Wire, answer, ask, site
+from tests.test_rtsp import Transport
 
 
 def test_who_says_nothing_or_trickles_is_closed_within_3_s_and_an_idle_viewer_is_not(tmp_path: Path) -> None:
@@ -64,6 +74,36 @@
         assert answer(viewer).status == 200
 
 
+def test_who_makes_room_is_found_without_a_look_at_all_connections() -> None:
+    """Guards the loop: a look at 500 lines for each of 7,000 connections took a fifth of a day's CPU."""
+
+    class Unseen(Table[ViewerLine]):
+        def __iter__(self) -> Iterator[ViewerLine]:
+            raise AssertionError("all lines are looked at")
+
+    clock, boxes = ManualClock(), cast(Boxes, None)
+    deadlines = Deadlines(clock)
+    front = Front(Router(settings(), 1, clock, deadlines), boxes, clock, deadlines, most=4)
+    front.lines = Unseen(4)
+
+    def connect(spoken: bool) -> ViewerLine:
+        line, made = front.buildProtocol(None), cast(Any, Transport)()
+        assert line is not None
+        cast(Any, line).makeConnection(made)
+        if spoken:
+            line.dataReceived(rtsp.request("OPTIONS", "rtsp://media/ping", 3, "00000000000000aa"))
+        return line
+
+    holding, resting, silent, later = (connect(spoken) for spoken in (True, True, False, False))
+    RtspViewer(front, holding, "s").stands(True)
+    for goes in (silent, later, resting):
+        assert not goes.gone
+        connect(True)
+        assert goes.gone
+        front.down(goes)
+    assert not holding.gone
+
+
 def raw(wire: Wire, name: str, length: int | str, body: bytes) -> None:
     wire.sock.sendall(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %b\r\nContent-Length: %b\r\n\r\n%b"
                       % (name.encode(), str(length).encode(), body))
