Step no session down for a newcomer that no holder may take

The log shows no load over 1 told then, so it was give_way(): each refusal of a bad client, whose errors had kept the holders away for a moment, made room for it. Ruled out: notes of short links (no 'stepping down' over 1.01), raising (bounded by its own room).

--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -276,8 +276,10 @@
 
     def give_way(self, newcomer: Session) -> None:
         """Exception: a newcomer found no room, so own sessions on full servers step down by their share, as
-        peers' do.  Guards against overload, where each could make room on other servers than its own."""
-        if self.random.random() < 1 - 1 / self.settings.fleet_size:
+        peers' do.  Guards against overload, where each could make room on other servers than its own.
+        Not where no holder may take it for reasons other than room."""
+        able = any(self.usable(s, newcomer) for s in self.fleet.holders(newcomer.request))
+        if self.random.random() < 1 - 1 / self.settings.fleet_size and able:
             for limit in {x: 0 for y in self.sessions.values() if y.server for x in y.server.limits()[::2]}:
                 self.step_down(limit, RAISE_MARK, RAISE_MARK, self.best[newcomer.kind.name] / STEP_GAIN)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -232,3 +232,16 @@
         drive.tell(api.ViewerLeft(drive.ask(f"title-{number}")[0]), 10_000)
     assert len(drive.controller.tokens) <= 4096
     assert all(len(x.places.history) < 2500 for x in drive.controller.fleet.servers.values())
+
+
+def test_no_session_steps_down_for_a_newcomer_that_no_holder_may_take() -> None:
+    """Guards against bad clients: once their errors kept holders away, each refusal made room."""
+    drive = Drive(settings(fleet_size=30), servers=1)
+    for title in ("a", "b"):
+        drive.play(title)  # each 400 of 1000
+    drive.note(10, link=0.85)
+    server = drive.controller.fleet.servers[10]
+    server.distrusted_until_us = drive.now + 1_000_000
+    for _ in range(10):
+        refused = drive.ask("odd", class_name="gold")[1]
+        assert of(api.Refuse, refused) and not of(api.SetRung, refused)
