--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -84,7 +84,7 @@
 
 
 def test_a_probed_report_of_room_raises_too_and_only_by_the_own_share() -> None:
-    """Guards against sessions left at a low rung where the fleet sends no load notes, as on quiet days here."""
+    """Guards against sessions left at a low rung where the fleet sends no load notes, as on quiet days."""
     raised_kb = 0
     for drive in fleet_with_one_session_each(200, 1):
         drive.note(10, link=0.5, uplink=0.1)
