--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -148,7 +148,7 @@
                 if act:
                     self.step_down(limit)
                 room = RAISE_MARK / max(load, limit.booked / limit.capacity, 1e-9) - 1
-                limit.raise_kb = limit.booked * max(0.0, room)  # the own share of it, until the next note
+                limit.raise_kb = limit.booked * max(0.0, room)  # the own share of it, until the next report
 
     def gain(self, kind: api.ServiceClass, rung: int) -> float:
         (worth, kb), below = (self.settings.rung_worth, self.rates[kind.name]), rung > kind.floor
--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -29,7 +29,7 @@
     described_us: int = 0  # the moment that `load` describes
     stepped_us: int = 0  # the last step down or up made here
     booked: float = 0.0
-    raise_kb: float = 0.0  # what own sessions may still be raised by until the next note
+    raise_kb: float = 0.0  # what own sessions may still be raised by until the next report
     history: deque[tuple[int, float]] = field(default_factory=deque)  # (moment, booked from then on)
     sessions: dict[int, Session] = field(default_factory=dict)
 
--- a/cloverhinge/hls/front.py
+++ b/cloverhinge/hls/front.py
@@ -18,11 +18,12 @@
 
 from twisted.internet.defer import ensureDeferred
 from twisted.logger import Logger
-from twisted.protocols.policies import WrappingFactory
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 from twisted.web.server import Request as HttpRequest
 
+from cloverhinge.core.deadlines import Deadlines, Key
 from cloverhinge.core.router import Router
 from cloverhinge.decision.interface import Effect
 from cloverhinge.hls import boxes as media
@@ -33,6 +34,8 @@
 
 PLAY_ID = re.compile(r"[A-Za-z0-9._~-]{8,128}")
 IDLE_CONNECTION_S = 60
+REQUEST_MS = 8000.0  # a request is whole so long after its first byte, or its connection is cut; longer than
+# any set-up takes, as a request may come while the one before it waits for its answer
 BODY_MOST = 16 * 1024
 Answer = tuple[int, str, str, dict[str, str]]  # status, text, its type, further fields
 
@@ -47,24 +50,58 @@
             length = 0
         super().gotLength(length)  # type: ignore[no-untyped-call]
 
+    def process(self) -> None:
+        transport: Any = self.channel.transport
+        transport.whole()
+        super().process()  # type: ignore[no-untyped-call]
+
+
+class Watched(ProtocolWrapper):
+    """Guards against players that say nothing, or a request byte by byte: no byte renews the time."""
+
+    due: Key | None = None
+
+    def connectionMade(self) -> None:
+        self._arm()
+        super().connectionMade()  # type: ignore[no-untyped-call]
+
+    def _arm(self) -> None:
+        limited: Any = self.factory
+        self.due = limited.deadlines.after(REQUEST_MS, self.abortConnection)
+
+    def whole(self) -> None:
+        limited: Any = self.factory
+        limited.deadlines.cancel(self.due)
+        self.due = None
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.due is None:
+            self._arm()
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.whole()
+        super().connectionLost(reason)  # type: ignore[no-untyped-call]
+
 
 class Limited(WrappingFactory):
     """Holds a bounded number of connections; over it, a new one is closed at once."""
 
     noisy = False
+    protocol = Watched
 
-    def __init__(self, wrapped: Any, most: int) -> None:
+    def __init__(self, wrapped: Any, most: int, deadlines: Deadlines) -> None:
         super().__init__(wrapped)  # type: ignore[no-untyped-call]
-        self.most = most
+        self.most, self.deadlines = most, deadlines
 
     def buildProtocol(self, addr: Any) -> Any:
         return None if len(self.protocols) >= self.most else super().buildProtocol(addr)
 
 
-def factory(front: Front, most: int) -> Limited:
+def factory(front: Front, most: int, deadlines: Deadlines) -> Limited:
     site = Site(front, requestFactory=BoundedRequest, timeout=IDLE_CONNECTION_S)
     site.noisy = False
-    return Limited(site, most)
+    return Limited(site, most, deadlines)
 
 
 class Front(Resource):
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -78,7 +78,7 @@
         held = self.plays = plays.Plays(self.router, boxes, self.deadlines, site.idle_ms)
         root = front.Front(site, self.router, boxes, held, self._proof)
         host, port = site.listen
-        wired = front.factory(root, self.config.sockets // 4)
+        wired = front.factory(root, self.config.sockets // 4, self.deadlines)
         web = reactor.listenTCP(port, wired, backlog=BACKLOG, interface=host)
         self.web_ports.append(web)
         self.log.info("{name}: HLS on {host}:{port}, {titles} titles", name=self.config.name, host=host,
--- a/tests/test_hls.py
+++ b/tests/test_hls.py
@@ -6,11 +6,12 @@
 import json
 import queue
 import re
+import socket
 import threading
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -258,3 +259,28 @@
         taker = next(box for box in boxes if box.puts)
         assert taker.deleted.get(timeout=WAIT_S) == taker.puts[0]["id"]
         assert player.get(playlist)[0] == 410
+
+
+def test_a_player_that_says_nothing_or_trickles_is_cut_and_one_that_rests_is_not(tmp_path: Path) -> None:
+    """Guards the connections: bytes that complete no request renew nothing."""
+    with hls_site(tmp_path) as (_, player, _boxes, _log):
+        resting = http.client.HTTPConnection("127.0.0.1", player.port, timeout=WAIT_S)
+        resting.request("GET", "/nothing")
+        assert resting.getresponse().read()
+        silent, slow = (socket.create_connection(("127.0.0.1", player.port), WAIT_S) for _ in range(2))
+        ended = threading.Event()
+
+        def trickle() -> None:
+            with suppress(OSError):
+                while not ended.wait(0.2):
+                    slow.sendall(b"G")
+
+        threading.Thread(target=trickle, daemon=True).start()
+        for player_side in (silent, slow):
+            with suppress(ConnectionResetError):
+                assert player_side.recv(1) == b""
+        ended.set()
+        resting.request("GET", "/nothing")
+        assert resting.getresponse().status == 404
+        for link in (silent, slow, resting):
+            link.close()
