--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -1,7 +1,9 @@
-"""Towards the pumps: a few lines to each listed pump, probes, and the watch for silent machines.
+"""Towards the pumps: lines to those in use, probes, and the watch for silent machines.
 
-A set-up has its line for itself as long as there are lines enough, so that an answer which is spoilt, late or
-never comes costs no other set-up.  After anything unreadable nothing on that line is trusted.
+A line is opened when there is something to send, or when sessions stand whose release has to be heard: each
+handshake costs the pump work and takes one of its few connections, times the number of routers.  A set-up has
+its line for itself as long as there are lines enough, so that an answer which is spoilt, late or never comes
+costs no other set-up.  After anything unreadable nothing on that line is trusted.
 """
 
 from __future__ import annotations
@@ -26,11 +28,11 @@
 
 PROBE_MS = 300.0
 SWEEP_MS = 400.0
-SILENT_MS = 2400.0  # a pump with sessions that said nothing for so long has to take a new connection
-DEAD_MS = 5000.0  # one that took none for so long has lost its sessions; the rule allows 8 s
+SILENT_MS = 5500.0  # a pump with sessions that said nothing for so long has to take a new connection
+DEAD_MS = 7000.0  # one that took none for so long has lost its sessions; the rule allows 8 s
 SHORT_MS = 1000.0  # a line that lasted so long is opened anew at once
 RETRY_MS = (200.0, 2000.0)  # pause before a failed connection is tried again
-IDLE_SHARE = 0.6  # of the time after which idle connections are closed, a line is replaced
+IDLE_SHARE = 0.6  # of the time after which idle connections are closed, a line without traffic is given up
 RETIRE_MS = 1500.0  # a replaced line is read for so long after its end was announced
 PARTIAL_MS = 400.0  # a message that is not whole so long after its first part never will be
 SPARE_MS = 5000.0  # a line beyond the first that carried no set-up for so long is closed
@@ -81,7 +83,7 @@
     def __init__(self, pump: Pump) -> None:
         super().__init__()
         self.pump = pump
-        self.since_ms = self.used_ms = 0.0
+        self.since_ms = self.used_ms = self.traffic_ms = 0.0  # opened, last set-up, last message either way
         self.closing_ms: float | None = None  # half-closed since
         self.attempts: dict[str, Attempt] = {}
         self.probes: dict[str, Probe] = {}
@@ -115,6 +117,10 @@
     def received(self, message: rtsp.Message) -> None:
         self.whole.append(message)
 
+    def send(self, data: bytes) -> None:
+        self.traffic_ms = self.pump.pool.clock.now()
+        super().send(data)
+
     def malformed(self, error: rtsp.Malformed, message: rtsp.Message | None = None) -> None:
         if message is not None:
             super().malformed(error, message)
@@ -169,6 +175,12 @@
         self.opening += 1
         _Connect(self)
 
+    @property
+    def missed(self) -> bool:
+        """There is no line, and something waits for one, or sessions stand whose releases come on it."""
+        wanted = self.waiting or self.held or self.pool.router.standing.get(self.box.number)
+        return self.listed and not self.lines and not self.opening and bool(wanted)
+
     def replace(self) -> None:
         self.replacing = True
         if not self.opening:
@@ -176,7 +188,7 @@
 
     def up(self, line: PumpLine) -> None:
         self.opening, self.retry_ms = self.opening - 1, RETRY_MS[0]
-        line.since_ms = line.used_ms = self.heard_ms = self.pool.clock.now()
+        line.since_ms = line.used_ms = line.traffic_ms = self.heard_ms = self.pool.clock.now()
         if not self.listed:
             line.close()
             return
@@ -222,12 +234,11 @@
         attempts, probes = list(line.attempts.values()), list(line.probes.values())
         line.attempts.clear()
         line.probes.clear()
-        if self.listed and not self.lines and not self.opening:
-            now = self.pool.clock.now()
-            if now - line.since_ms >= SHORT_MS:
-                self.open()
-            else:  # guards against a pump that takes connections and closes them at once
-                self.retry_at_ms = now + RETRY_MS[0]
+        now = self.pool.clock.now()
+        if now - line.since_ms < SHORT_MS:  # guards against a pump that closes each connection at once
+            self.retry_at_ms = now + RETRY_MS[0]
+        elif self.missed:
+            self.open()
         for attempt in attempts:
             # It may have run, and may stand there for nobody.
             self.tell(release(attempt.request.ask.name, Cause.CANCELLED))
@@ -281,7 +292,7 @@
         return self.retiring + self.lines
 
     def read(self, line: PumpLine, message: rtsp.Message) -> None:
-        self.heard_ms = self.pool.clock.now()
+        self.heard_ms = line.traffic_ms = self.pool.clock.now()
         if message.status:
             self.answer(line, message)
         else:
@@ -342,14 +353,15 @@
         for line in self.lines[1:]:
             if now - line.used_ms > SPARE_MS:
                 self.retire(line)
-        if not self.lines:
-            if now >= self.retry_at_ms and not self.opening:
-                self.open()
-        elif now - self.lines[0].since_ms > IDLE_SHARE * self.pool.idle_ms:
-            self.replace()
-        standing = self.pool.router.standing.get(self.box.number)
-        if not standing:
+        if self.missed and now >= self.retry_at_ms:
+            self.open()
+        if not self.pool.router.standing.get(self.box.number):
+            self.heard_ms = now  # there is nothing to hear of
+            for line in [x for x in self.lines if now - x.traffic_ms > IDLE_SHARE * self.pool.idle_ms]:
+                self.retire(line)
             return
+        if self.lines and now - self.lines[0].traffic_ms > IDLE_SHARE * self.pool.idle_ms:
+            self.replace()
         if now - self.heard_ms > DEAD_MS:
             self.pool.log.warn("pump {name}: silent, its sessions are taken as lost", name=self.box.name)
             for line in self.all_lines():
@@ -406,8 +418,7 @@
             pump.unlist()
         for number, box in boxes.items():
             if number not in self.pumps:
-                pump = self.pumps[number] = Pump(self, box, heard_ms=self.clock.now())
-                pump.open()
+                self.pumps[number] = Pump(self, box, heard_ms=self.clock.now())
 
     def lines_most(self) -> int:
         """To one pump; all together take a fifth of the descriptors at most."""
--- a/tests/test_rtsp.py
+++ b/tests/test_rtsp.py
@@ -21,6 +21,9 @@
     def setTcpNoDelay(self, enabled: bool) -> None:
         pass
 
+    def loseWriteConnection(self) -> None:
+        pass
+
 
 class Reader(rtsp.RtspProtocol):
     def __init__(self) -> None:
