Keep a pump's lines when a check shows that it lives

At fault: Pump.up, which retired the old lines whatever the new one was opened for. Now a check's connection is read for what the pump has to say and closed; the lines in use go on. Lines near the end of the idle time are replaced as before. Ruled out: dropping the check, as a vanished machine gives no sign (rule of 8 s).

--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -164,6 +164,7 @@
     retiring: list[PumpLine] = field(default_factory=list)
     opening: int = 0  # connections on their way
     replacing: bool = False  # the next one to come up takes the place of all
+    checking: bool = False  # the next one to come up only shows that the pump lives
     waiting: list[Attempt | Probe] = field(default_factory=list)
     held: deque[bytes] = field(default_factory=lambda: deque(maxlen=HELD_MOST))
     heard_ms: float = 0.0
@@ -192,11 +193,14 @@
         if not self.listed:
             line.close()
             return
-        if self.replacing:
-            self.replacing = False
-            for old in list(self.lines):
+        if self.checking and self.lines:  # the pump lives; what it says here is read, its old lines go on
+            self.retiring.append(line)
+        else:
+            for old in list(self.lines) if self.replacing else ():
                 self.retire(old)
-        self.lines.append(line)
+            self.lines.append(line)
+            self.replacing = False
+        self.checking = False
         while self.held:
             line.send(self.held.popleft())
         self.flush()
@@ -367,8 +371,9 @@
             for line in self.all_lines():
                 line.drop()
             self.pool.router.cut_all(self.box.number)
-        elif now - self.heard_ms > SILENT_MS and now >= self.retry_at_ms:
-            self.replace()
+        elif now - self.heard_ms > SILENT_MS and now >= self.retry_at_ms and not self.opening:
+            self.checking = True
+            self.open()
 
     def unlist(self) -> None:
         self.listed = False
--- a/tests/test_pumps.py
+++ b/tests/test_pumps.py
@@ -89,6 +89,19 @@
     assert len(stand.reactor.factories) == 1 and line.closing_ms, "idle lines are closed, not renewed"
 
 
+def test_a_pump_that_shows_that_it_lives_keeps_its_lines() -> None:
+    """Guards pumps' scarce connections: each check of a silent pump made the next set-up use a new line."""
+    stand = Stand(2)
+    stand.carry(1)
+    stand.pass_time(500)
+    line = stand.up()
+    stand.pass_time(6_500)
+    assert len(stand.reactor.factories) == 2
+    check = stand.up()
+    stand.pass_time(500)
+    assert stand.pumps.pumps[1].lines == [line] and line.closing_ms is None and check.closing_ms
+
+
 def test_a_silent_pump_s_sessions_are_lost_within_8_s() -> None:
     """Guards the rule on sessions left standing, now that silence is looked into later."""
     stand = Stand(2)
