--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -313,6 +313,11 @@
         drawn = int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
         return math.log((drawn + 0.5) / 2**64) / server.link.capacity if self.many else drawn
 
+    def least_loaded(self, title: str, servers: list[Server]) -> Server | None:
+        """The unheard count alike: among many instances each takes one of them by its own lot."""
+        return min(servers, default=None, key=lambda s: (
+            self.burden(s), -self.lot(title, s) if self.many else s.listing.server))
+
     def token_holder(self, session: Session, holders: list[Server]) -> Server | None:
         """The holder of the title's token: at first the one that a hash picks, alike at every instance.
         Where many share the traffic it is the least-loaded heard that admits: others cost a question."""
@@ -322,8 +327,7 @@
         if holder is None and holders:
             heard = [s for s in holders if self.many and s.link.load is not None
                      and self.admits(s, session, session.ceiling)]
-            holder = min(heard, key=lambda s: (self.burden(s), -self.lot(title, s)), default=None) or max(
-                holders, key=lambda s: self.lot(title, s))
+            holder = self.least_loaded(title, heard) or max(holders, key=lambda s: self.lot(title, s))
         if holder:
             self.tokens[title] = holder.listing.server  # behind all others
         if len(self.tokens) > TOKENS_MOST:
@@ -331,10 +335,9 @@
         return holder
 
     def pass_token(self, session: Session, holders: list[Server], rung: int) -> Server | None:
-        """The least-loaded holder that admits the session inherits the token.  The unheard count alike."""
-        heirs, title = [s for s in holders if self.admits(s, session, rung)], session.request.title
-        heir = min(heirs, default=None, key=lambda s: (
-            self.burden(s), -self.lot(title, s) if self.many else s.listing.server))
+        """The least-loaded holder that admits the session inherits the token."""
+        title = session.request.title
+        heir = self.least_loaded(title, [s for s in holders if self.admits(s, session, rung)])
         if heir:
             self.tokens[title] = heir.listing.server
         return heir
