--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -315,8 +315,9 @@
 
     def least_loaded(self, title: str, servers: list[Server]) -> Server | None:
         """The unheard count alike: among many instances each takes one of them by its own lot."""
-        return min(servers, default=None, key=lambda s: (
+        ranked = sorted(servers, key=lambda s: (
             self.burden(s), -self.lot(title, s) if self.many else s.listing.server))
+        return ranked[0] if ranked else None
 
     def token_holder(self, session: Session, holders: list[Server]) -> Server | None:
         """The holder of the title's token: at first the one that a hash picks, alike at every instance.
