Large fleets: pass a token to heirs that were heard before others

Seen: handshakes and questions follow the servers that a router uses for the first time, about 0.8 for each set-up. An unheard heir counts as average, so it was often taken, with a question and a connection, before one of known load that admits as well.

At fault: pass_token in decision/logic.py, which ranked both alike. From 10 routers on it now passes among the heirs heard, where any admits.

--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -338,7 +338,9 @@
     def pass_token(self, session: Session, holders: list[Server], rung: int) -> Server | None:
         """The least-loaded holder that admits the session inherits the token."""
         title = session.request.title
-        heir = self.least_loaded(title, [s for s in holders if self.admits(s, session, rung)])
+        heirs = [s for s in holders if self.admits(s, session, rung)]
+        heard = [s for s in heirs if self.many and s.link.load is not None]
+        heir = self.least_loaded(title, heard or heirs)
         if heir:
             self.tokens[title] = heir.listing.server
         return heir
--- a/tests/test_token.py
+++ b/tests/test_token.py
@@ -263,3 +263,14 @@
     homes = [first(instance, title) for instance in range(40) for title in ("a", "b", "c")]
     assert set(homes[::3]) == {10, 11, 12}
     assert 0.5 < homes.count(10) / len(homes) < 0.7
+
+
+def test_on_a_large_fleet_a_token_passes_to_an_heir_that_was_heard_before_others() -> None:
+    """Guards against a question and a connection for an heir that only counts as average."""
+    drive = Drive(LARGE)
+    for server, load in ((10, 0.2), (11, 0.25), (13, 0.2), (14, 0.2), (15, 0.2)):
+        drive.note(server, link=load, uplink=0.1)
+    drive.controller.tokens["t"] = 10
+    session, actions = drive.ask("t", ceiling=0, copies=3)
+    assert sent(actions).server == 10
+    assert sent(drive.end(session, 10, Outcome.FULL)).server == 11  # 12 counts as 0.21
