--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Only names the two commands of the README; what they do is in the scripts that they call.
+
+.PHONY: demo test
+
+.venv/built-from.txt: requirements.txt
+	rm -rf .venv
+	python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+	cp requirements.txt $@
+
+.venv-dev/built-from.txt: requirements.txt requirements-dev.txt
+	rm -rf .venv-dev
+	python3 -m venv .venv-dev
+	.venv-dev/bin/pip -q install -r requirements-dev.txt
+	cat requirements.txt requirements-dev.txt > $@
+
+demo: .venv/built-from.txt
+	.venv/bin/python example/demo.py
+
+test: .venv-dev/built-from.txt
+	.venv-dev/bin/ruff check cloverhinge tests example
+	.venv-dev/bin/mypy
+	.venv-dev/bin/python -m pytest
