site/: one msgspec schema for each table of the site's file, keys named in full

Need: the door brings two more tables, and a wrong value in the old reader was named without its table or not at all (copies = 'two' said: invalid literal for int()). Change: site.py becomes the package site/ (model, schema). msgspec replaces the hand-written checks of types and ranges; unknown keys are refused and every message holds the key's full path. address() and ConfigError move to core/told.py, as the site may not look up into net/.

--- a/cloverhinge/cli.py
+++ b/cloverhinge/cli.py
@@ -30,6 +30,7 @@
 from docopt import docopt
 
 from cloverhinge import __version__, config, console, site
+from cloverhinge.core.told import ConfigError
 
 DEFAULT_SITE = "deploy/site.toml"
 
@@ -45,12 +46,12 @@
         if chosen["console"]:
             admin = site.read(Path(chosen["--site"])).admin
             if admin is None:
-                raise config.ConfigError(f"{chosen['--site']} names no admin socket")
+                raise ConfigError(f"{chosen['--site']} names no admin socket")
             return console.show(admin, chosen["--once"])
         told = config.read(chosen["CONFIG"]) if chosen["CONFIG"] else config.from_environment()
         path = Path(chosen["--site"])
         around = site.read(path) if path.exists() or chosen["--site"] != DEFAULT_SITE else site.Site()
-    except (config.ConfigError, console.ConsoleError) as error:
+    except (ConfigError, console.ConsoleError) as error:
         print(f"cloverhinge: {error}", file=sys.stderr)
         return 2
     if chosen["check"]:
--- a/cloverhinge/config.py
+++ b/cloverhinge/config.py
@@ -8,15 +8,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+from cloverhinge.core.told import ConfigError, address
 from cloverhinge.decision import interface as api
-from cloverhinge.net.changelog import Change, address, parse_event
+from cloverhinge.net.changelog import Change, parse_event
 from cloverhinge.settings import parse_settings
 
 
-class ConfigError(Exception):
-    """One plain sentence on what is wrong with the configuration."""
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
--- a/cloverhinge/net/changelog.py
+++ b/cloverhinge/net/changelog.py
@@ -15,6 +15,7 @@
 from twisted.python.failure import Failure
 
 from cloverhinge.core.deadlines import Deadlines, Key
+from cloverhinge.core.told import address
 from cloverhinge.decision import interface as api
 from cloverhinge.net.buffered import BufferedReceiver
 
@@ -47,13 +48,6 @@
     return 1 << 32 | int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big")
 
 
-def address(text: str, lowest: int = 1) -> tuple[str, int]:
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not lowest <= int(port) < 65536:
-        raise ValueError(f"{text!r} is no host:port")
-    return host, int(port)
-
-
 def parse_instance(row: dict[str, Any]) -> tuple[Box, api.ServerListing]:
     name = str(row["instanceId"])
     host, port = address(str(row["hostPort"]))
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -14,10 +14,11 @@
 from twisted.logger import Logger, globalLogBeginner, textFileLogObserver
 
 from cloverhinge.admin import Admin, snapshot
-from cloverhinge.config import Config, ConfigError, from_environment
+from cloverhinge.config import Config, from_environment
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
+from cloverhinge.core.told import ConfigError
 from cloverhinge.decision import interface as api
 from cloverhinge.net.changelog import Box, Change, ChangeLog
 from cloverhinge.net.front import Front
--- /dev/null
+++ b/cloverhinge/site/schema.py
@@ -0,0 +1,208 @@
+"""The tables of the site's file: their keys, units, defaults and ranges; unknown keys are refused.
+
+Every message is one plain sentence that names the key by its full path.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from ipaddress import ip_network
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from cloverhinge.core.told import ConfigError, address
+from cloverhinge.site.model import AcmeSite, ClientSite, DoorSite, HlsSite, Site, Title
+
+KEY_SHORTEST = 32  # characters, of keys that sign for the router
+CLIENT_KEY_SHORTEST = 16  # of keys under which a client's page vouches
+CLIENTS_MOST = 64  # each may have a bucket and a table of its own in memory
+OTHERS = "others"  # the client of all whom nobody vouches for
+NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+TABLES = ("hls", "acme", "admin", "door", "clients")
+
+Positive = Annotated[float, Meta(gt=0)]
+Whole = Annotated[int, Meta(ge=0)]
+S = TypeVar("S", bound=msgspec.Struct)
+
+
+class Table(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A table of the file: each field a key."""
+
+
+class AdminTable(Table):
+    listen: str
+
+
+class TitleTable(Table):
+    copies: Annotated[int, Meta(ge=1)]
+    home: Whole = 0
+    top: Whole = 255
+    length_s: Annotated[float, Meta(ge=0)] = 0.0
+    classes: tuple[str, ...] = ()
+
+
+class HlsTable(Table):
+    listen: str
+    key: str
+    idle_s: Positive = 30.0
+    manifest_kb: Positive = 256.0
+    box_port: Annotated[int, Meta(ge=1, lt=65536)] = 8080
+    allow_origin: str = "*"
+    boxes: dict[str, str] = {}
+    titles: dict[str, Any] = {}
+
+
+class AcmeTable(Table):
+    directory: str
+    domains: tuple[str, ...]
+    listen: str
+    contact: str = ""
+    state: str = ""
+    ca_file: str = ""
+    renew_before_days: Positive = 30.0
+
+
+class DoorTable(Table):
+    key: str
+    waiting: Annotated[int, Meta(ge=1, le=4096)] = 512
+    promises: Annotated[int, Meta(ge=64, le=65536)] = 4096
+    quote_most_s: Annotated[float, Meta(ge=5, le=3600)] = 120.0
+
+
+class ClientTable(Table):
+    weight: Annotated[float, Meta(gt=0, le=1000)] = 1.0
+    networks: tuple[str, ...] = ()
+    key: str = ""
+
+
+def read(path: Path) -> Site:
+    try:
+        told = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path} can't be read: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path} is not TOML: {error}") from None
+    try:
+        return parse(told)
+    except ValueError as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def parse(told: dict[str, Any]) -> Site:
+    unknown = sorted(told.keys() - set(TABLES))
+    if unknown:
+        raise ValueError(f"nothing is called {unknown[0]}")
+    admin = None
+    if "admin" in told:
+        admin = where(table(told["admin"], AdminTable, "admin").listen, "admin.listen")
+    if admin is not None and not admin[0].startswith("127."):
+        raise ValueError("admin.listen has to be a loopback address")
+    hls = parse_hls(told["hls"]) if "hls" in told else None
+    if "acme" in told and hls is None:
+        raise ValueError("acme: certificates are for the HLS front, which has no table here")
+    if "clients" in told and "door" not in told:
+        raise ValueError("clients: clients queue at the door, which has no table here")
+    door = parse_door(told["door"], told.get("clients", {})) if "door" in told else None
+    return Site(hls, parse_acme(told["acme"]) if "acme" in told else None, admin, door)
+
+
+def table(told: Any, kind: type[S], path: str) -> S:
+    """A table by its schema; ValueError that names the key at fault by its full path."""
+    try:
+        return msgspec.convert(told, kind)
+    except msgspec.ValidationError as error:
+        raise ValueError(plainly(str(error), path)) from None
+
+
+def plainly(message: str, path: str) -> str:
+    """The library's message, with the key's path ahead of it."""
+    what, _, inside = message.partition(" - at `$")
+    at = path + inside.removesuffix("`")
+    if found := re.fullmatch(r"Object contains unknown field `(.*)`", what):
+        return f"nothing is called {at}.{found[1]}"
+    if found := re.fullmatch(r"Object missing required field `(.*)`", what):
+        return f"{at}.{found[1]} is missing"
+    what = what.replace("Expected `object`", "Expected a table").replace("`", "")
+    return f"{at}: {what[:1].lower()}{what[1:]}"
+
+
+def where(text: str, path: str, lowest: int = 0) -> tuple[str, int]:
+    try:
+        return address(text, lowest)
+    except ValueError as error:
+        raise ValueError(f"{path}: {error}") from None
+
+
+def secret(text: str, path: str, shortest: int) -> bytes:
+    if len(text) < shortest:
+        raise ValueError(f"{path} has to hold {shortest} characters or more")
+    return text.encode()
+
+
+def named(name: str, path: str, what: str) -> None:
+    if not NAME.fullmatch(name):
+        raise ValueError(f"{path}: a {what} is made of letters, digits, '.', '_' and '-'")
+
+
+def parse_hls(told: Any) -> HlsSite:
+    own = table(told, HlsTable, "hls")
+    titles = {}
+    for name, one in own.titles.items():
+        path = f"hls.titles.{name}"
+        named(name, path, "title")
+        title = table(one, TitleTable, path)
+        titles[name] = Title(title.home, title.copies, title.top, title.length_s * 1000.0,
+                             frozenset(title.classes))
+    return HlsSite(
+        listen=where(own.listen, "hls.listen"), key=secret(own.key, "hls.key", KEY_SHORTEST),
+        idle_ms=own.idle_s * 1000.0, manifest_bytes=int(own.manifest_kb * 1024), box_port=own.box_port,
+        boxes={name: where(text, f"hls.boxes.{name}", 1) for name, text in own.boxes.items()},
+        titles=titles, allow_origin=own.allow_origin)
+
+
+def parse_acme(told: Any) -> AcmeSite:
+    own = table(told, AcmeTable, "acme")
+    if not own.domains:
+        raise ValueError("acme.domains names no domain")
+    return AcmeSite(
+        directory=own.directory, domains=own.domains, contact=own.contact,
+        listen=where(own.listen, "acme.listen"), state=Path(own.state) if own.state else None,
+        ca_file=own.ca_file, renew_before_s=own.renew_before_days * 86400.0)
+
+
+def parse_door(told: Any, clients: Any) -> DoorSite:
+    own = table(told, DoorTable, "door")
+    if not isinstance(clients, dict):
+        raise ValueError("clients: expected a table of clients")
+    if len(clients) > CLIENTS_MOST:
+        raise ValueError(f"clients: {len(clients)} are named, {CLIENTS_MOST} at most")
+    parsed = {name: parse_client(name, one) for name, one in clients.items()}
+    seen: dict[Any, str] = {}
+    for client in parsed.values():
+        for network in client.networks:
+            if network in seen:
+                raise ValueError(f"clients.{client.name}.networks: {network} is {seen[network]}'s already")
+            seen[network] = client.name
+    others = parsed.pop(OTHERS, ClientSite(OTHERS))
+    if others.networks or others.key:
+        raise ValueError(f"clients.{OTHERS} are those whom nobody vouches for: it takes a weight alone")
+    return DoorSite(secret(own.key, "door.key", KEY_SHORTEST), own.waiting, own.promises,
+                    own.quote_most_s * 1000.0, (*parsed.values(), others))
+
+
+def parse_client(name: str, told: Any) -> ClientSite:
+    path = f"clients.{name}"
+    named(name, path, "client")
+    own = table(told, ClientTable, path)
+    networks = []
+    for text in own.networks:
+        try:
+            networks.append(ip_network(text))
+        except ValueError as error:
+            raise ValueError(f"{path}.networks: {error}") from None
+    key = secret(own.key, f"{path}.key", CLIENT_KEY_SHORTEST) if own.key else b""
+    return ClientSite(name, own.weight, tuple(networks), key)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -299,7 +299,8 @@
 
 def test_a_bad_configuration_is_one_line_and_no_start(tmp_path: Path) -> None:
     from cloverhinge import config
+    from cloverhinge.core.told import ConfigError
 
     (tmp_path / "config.json").write_text(json.dumps({"name": "n0"}))
-    with pytest.raises(config.ConfigError, match="settings"):
+    with pytest.raises(ConfigError, match="settings"):
         config.read(str(tmp_path / "config.json"))
