The door: fair order, waiting and quotes before the core, off without [door]

Need: when one client opens a campaign other clients' agents wait behind it, and a hold-off promised nothing. Both fronts take proofs and tickets, and say 403 where a proof does not fit.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,6 @@
 	.venv/bin/python example/demo.py
 
 test: .venv-dev/built-from.txt
-	.venv-dev/bin/ruff check cloverhinge tests example
+	.venv-dev/bin/ruff check cloverhinge tests example benchmarks
 	.venv-dev/bin/mypy
 	.venv-dev/bin/python -m pytest
--- /dev/null
+++ b/benchmarks/world.py
@@ -0,0 +1,202 @@
+"""A small site in virtual time: the real core, module and door, with boxes and viewers that are models.
+
+Boxes answer a set-up after a fixed time and tell their true load each second.  Viewers come at random,
+wait, are refused with a hold-off, and come back as they were told, until their patience ends.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from cloverhinge.core.clock import ManualClock
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.core.model import Ask, Attempt, Cause, Request, State
+from cloverhinge.core.router import Router
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.interface import Outcome
+
+SET_UP_MS = 30.0  # what a box takes for one
+NOTES_MS = 1000.0  # pace of the loads that boxes tell
+CLASSES = (api.ServiceClass("coaching", aim_us=1_500_000, deadline_us=5_000_000, worth=1.0),
+           api.ServiceClass("check", effect=api.Effect.ONCE, aim_us=1_500_000, deadline_us=3_000_000,
+           worth=2.0))
+FLOOR_KB, MARK = 100.0, 0.9
+
+
+def settings(boxes: int, each: int, **more: Any) -> api.Settings:
+    """A fleet on which `each` sessions at the floor fit on a box."""
+    told: dict[str, Any] = dict(
+        classes=CLASSES, ladder_kb=(FLOOR_KB, 2 * FLOOR_KB), rung_worth=(0.8, 1.0),
+        places_by_kind={"box": 2 * each}, weight_kb=FLOOR_KB * (each + 0.5) / MARK, cells=boxes,
+        max_attempts=3, max_retry_after_us=1_000_000, notes_late_us=100_000, told_every_us=1_000_000)
+    return api.Settings(**{**told, **more})
+
+
+@dataclass
+class Tally:
+    """What became of the viewers of a client."""
+
+    came: int = 0
+    served: int = 0
+    gone: int = 0  # whose patience ended
+    asked: int = 0
+    back: int = 0  # came back as told
+    back_in: int = 0  # and were served then
+    waits_ms: list[float] = field(default_factory=list)  # to the answer, of those served at that try
+    served_ms: list[float] = field(default_factory=list)  # from first coming to being served
+
+
+@dataclass(eq=False)
+class Viewer:
+    world: World
+    who: Crowd
+    class_name: str
+    name: str
+    came_ms: float
+    length_ms: float
+    tries: int = 0
+    asked_ms: float = 0.0
+    request: Request | None = None
+    ticket: str = ""
+
+    def ask(self) -> None:
+        self.tries += 1
+        self.asked_ms = self.world.clock.now()
+        tally = self.who.tally
+        tally.asked += 1
+        tally.back += self.tries > 1
+        limit = 3000.0 if self.class_name == "check" else 5000.0
+        self.world.count += 1
+        peer = self.who.peer if self.who.peers == 1 else f"198.18.{self.world.count % self.who.peers}.7"
+        ask = Ask(f"{self.world.count:016x}", self.class_name, self.who.title, 0, 64, 1, limit,
+                  length_ms=self.length_ms * self.world.random.lognormvariate(0, 0.3),
+                  viewer=self.name, peer=peer, ticket=self.ticket if self.who.carries else "")
+        if self.world.router.take(ask, self, self.world) is None:
+            self.refused(1000.0)
+
+    def served(self, answer: bytes) -> None:
+        now, tally = self.world.clock.now(), self.who.tally
+        tally.served += 1
+        tally.back_in += self.tries > 1
+        tally.waits_ms.append(now - self.asked_ms)
+        tally.served_ms.append(now - self.came_ms)
+
+    def refused(self, hold_off_ms: float, ticket: str = "") -> None:
+        now = self.world.clock.now()
+        told = max(min(hold_off_ms, self.who.cut_ms), 1.0)
+        if self.who.grain_ms > 1:
+            told = math.ceil(told / self.who.grain_ms) * self.who.grain_ms
+        self.ticket = ticket
+        if now + told - self.came_ms > self.who.patience_ms:
+            self.who.tally.gone += 1
+        elif self.world.random.random() < self.who.returning:
+            self.world.deadlines.after(told, self.ask)
+
+    def failed(self, why: Outcome | None) -> None:
+        self.who.tally.gone += 1
+
+    def released(self, cause: Cause) -> None:
+        pass
+
+    def moved(self) -> None:
+        pass
+
+
+@dataclass(eq=False)
+class Crowd:
+    """Viewers of one client."""
+
+    name: str
+    peer: str
+    per_s: float
+    until_ms: float = math.inf
+    from_ms: float = 0.0
+    title: str = "t"
+    checks: float = 0.0  # share of them that ask for a check
+    length_ms: float = 10_000.0
+    spread: float = 0.5  # sigma of the lognormal lengths
+    cut_ms: float = math.inf  # the longest hold-off that its wire tells
+    grain_ms: float = 1.0
+    patience_ms: float = 90_000.0
+    returning: float = 1.0  # share that comes back when told to
+    carries: bool = False  # tickets
+    peers: int = 1  # addresses that they come from
+    tally: Tally = field(default_factory=Tally)
+
+
+class World:
+    def __init__(self, told: api.Settings, crowds: list[Crowd], seed: int = 1, boxes: int = 4,
+                 start_ms: float = 1_700_000_000_000.0) -> None:
+        self.clock = ManualClock(start_ms)
+        self.start_ms = start_ms
+        self.deadlines = Deadlines(self.clock)
+        self.router = Router(told, seed, self.clock, self.deadlines, most_requests=65536)
+        self.random = random.Random(seed)
+        self.crowds, self.count, self.told = crowds, 0, told
+        self.load: dict[int, dict[int, Request]] = {}
+        self.listings = [api.ServerListing(10 + n, n, "z", "box") for n in range(boxes)]
+        self.router.fleet(api.ListKind.FULL, self.listings)
+
+    def run(self, ms: float) -> None:
+        """On by so much; arrivals start with the first call."""
+        until = self.clock.now() + ms
+        for crowd in self.crowds:
+            if not crowd.tally.came and crowd.per_s > 0:
+                self.deadlines.arm(self.start_ms + crowd.from_ms, partial(self._next, crowd))
+                crowd.tally.came = 1
+        if not self.load:
+            self.load = {one.server: {} for one in self.listings}
+            self._tell_loads()
+        while self.deadlines._due and (at := self.deadlines._due.peekitem(0)[0][0]) <= until:
+            self.clock.time = max(self.clock.time, at)
+            self.deadlines.run()
+        self.clock.time = until
+
+    def _next(self, crowd: Crowd) -> None:
+        now = self.clock.now()
+        if now - self.start_ms < crowd.until_ms:
+            self.deadlines.after(self.random.expovariate(crowd.per_s) * 1000.0, lambda: self._next(crowd))
+            crowd.tally.came += 1
+            kind = "check" if self.random.random() < crowd.checks else "coaching"
+            length = crowd.length_ms * self.random.lognormvariate(-crowd.spread ** 2 / 2, crowd.spread)
+            Viewer(self, crowd, kind, f"{crowd.name}-{crowd.tally.came}", now, length).ask()
+
+    def _tell_loads(self) -> None:
+        for server, sessions in self.load.items():
+            kb = sum(self.told.ladder_kb[x.rung or 0] for x in sessions.values())
+            first = next(iter(sessions.values()), None)
+            if first is not None:
+                self.router.note(first, api.LinkNote(first.handle, server, kb / self.told.weight_kb))
+        self.deadlines.after(NOTES_MS, self._tell_loads)
+
+    # Boxes
+
+    def set_up(self, attempt: Attempt) -> None:
+        self.deadlines.after(SET_UP_MS, lambda: self._answer(attempt))
+
+    def _answer(self, attempt: Attempt) -> None:
+        request = attempt.request
+        if self.router.may_write(attempt) and self.router.answered(attempt, b"made"):
+            self.load[attempt.server][request.handle] = request
+            viewer: Any = request.viewer
+            self.deadlines.after(viewer.length_ms, lambda: self._ends(request))
+
+    def _ends(self, request: Request) -> None:
+        if request.state is State.STANDS:
+            self.router.session_over(request, Outcome.SERVED)
+        for sessions in self.load.values():
+            sessions.pop(request.handle, None)
+
+    def give_up(self, attempt: Attempt) -> None:
+        pass
+
+    def release(self, request: Request, cause: Cause) -> None:
+        for sessions in self.load.values():
+            sessions.pop(request.handle, None)
+
+    def set_rung(self, request: Request, rung: int) -> None:
+        pass
--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -25,6 +25,10 @@
     length_ms: float = 0.0
     viewer: str = ""
     returning: bool = False
+    peer: str = ""  # the viewer's address
+    client: int = -1  # the door's number of the client that vouched for it; -1 = go by the address
+    ticket: str = ""  # of an earlier quote
+    grain_ms: float = 1.0  # the wire tells holds-off in steps of so much
 
 
 class State(Enum):
@@ -96,7 +100,7 @@
     """Towards whoever asked.  Exactly one of the first three is called, unless the viewer has left."""
 
     def served(self, answer: bytes) -> None: ...
-    def refused(self, hold_off_ms: float) -> None: ...
+    def refused(self, hold_off_ms: float, ticket: str = "") -> None: ...
     def failed(self, why: Outcome | None) -> None: ...
     def released(self, cause: Cause) -> None: ...
     def moved(self) -> None: ...
@@ -113,6 +117,21 @@
     def set_rung(self, request: Request, rung: int) -> None: ...
 
 
+class Door(Protocol):
+    """Stands before the core where the site wants one: who is let in, and what is quoted to others."""
+
+    def arrive(self, request: Request) -> None:
+        """Call `Router.admit` or `Router.turn_away` for it, now or later but within its time."""
+
+    def refused(self, request: Request, hold_off_ms: float) -> tuple[float, str]:
+        """The module refused it: the hold-off and the ticket to tell."""
+
+    def stands(self, request: Request) -> None: ...
+    def resized(self, request: Request) -> None: ...
+    def over(self, request: Request) -> None: ...
+    def fleet_changed(self) -> None: ...
+
+
 class Prober(Protocol):
     def probe(self, server: int) -> None:
         """Report to `Router.probed`, in any case."""
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -20,6 +20,7 @@
     Boxes,
     Cause,
     Counters,
+    Door,
     Prober,
     Request,
     State,
@@ -51,6 +52,7 @@
         self.listings: dict[int, api.ServerListing] = {}
         self.counters = Counters()
         self.prober: Prober | None = None
+        self.door: Door | None = None
         self.on_open: Callable[[], None] = lambda: None  # told whenever an open request is concluded
         self.open = 0
         self._events: deque[api.Event] = deque()
@@ -108,9 +110,23 @@
                                            lambda: self._overdue(request))
         self.counters.taken += 1
         self.open += 1
-        self.tell(self._requested(request))
+        if self.door is None:
+            self.admit(request)
+        else:
+            self.door.arrive(request)
         return request
 
+    def admit(self, request: Request) -> None:
+        """The module decides on it from here on."""
+        self.tell(self._requested(request))
+
+    def turn_away(self, request: Request, hold_off_ms: float, ticket: str) -> None:
+        """The door's answer to one that it did not let in, so nothing of it has run."""
+        if holds(request.state is State.OPEN and not request.attempts, "turned away before any attempt"):
+            self.counters.refused += 1
+            self._conclude(request)
+            request.viewer.refused(hold_off_ms if self.settings.retry_after else 0.0, ticket)
+
     def carry(self, ask: Ask, server: int, viewer: Viewer, boxes: Boxes) -> Request | None:
         """A session that plays already.  One that is held already stays as it is.
 
@@ -275,6 +291,8 @@
         of_title.remove(request)
         if not of_title:
             del self.by_title[request.ask.title]
+        if self.door is not None:
+            self.door.over(request)
 
     def _refuse(self, session: int, hold_off_ms: float) -> None:
         request = self.requests.get(session)
@@ -287,8 +305,12 @@
         if not holds(harmless, "paid set-up refused only if it never ran"):
             return self._fail(session)
         self.counters.refused += 1
+        ticket = ""
+        if self.door is not None:
+            quote_ms, ticket = self.door.refused(request, hold_off_ms)
+            hold_off_ms = quote_ms if self.settings.retry_after else 0.0
         self._conclude(request)
-        request.viewer.refused(hold_off_ms)
+        request.viewer.refused(hold_off_ms, ticket)
 
     def _fail(self, session: int) -> None:
         request = self.requests.get(session)
@@ -315,6 +337,8 @@
     def _stand(self, request: Request, server: int) -> None:
         request.state, request.server = State.STANDS, server
         self.standing.setdefault(server, {})[request.handle] = request
+        if self.door is not None:
+            self.door.stands(request)
 
     def session_over(self, request: Request, outcome: Outcome, report: api.LoadReport | None = None) -> None:
         """The box has released it.  Repeated releases find nothing that stands."""
@@ -361,6 +385,8 @@
             return
         top = min(request.ask.ceiling, request.kind.top, len(self.settings.ladder_kb) - 1)
         request.rung = max(request.kind.floor, min(rung, top))
+        if self.door is not None:
+            self.door.resized(request)
         if request.state is State.STANDS:
             request.boxes.set_rung(request, request.rung)
 
@@ -386,6 +412,8 @@
         self.tell(api.FleetUpdate(kind, told))
         for server in lost:
             self.cut_all(server)
+        if self.door is not None:
+            self.door.fleet_changed()
 
     def probed(self, server: int, outcome: Outcome, took_ms: float, report: api.LoadReport | None) -> None:
         self.tell(api.ProbeEnded(server, outcome, to_us(took_ms), report))
--- /dev/null
+++ b/cloverhinge/door/fair.py
@@ -0,0 +1,605 @@
+"""The door's decisions: who is let in, who waits, who is answered at once and with which quote.  Free of I/O.
+
+Events and a time go in, verdicts come out.  Requests are known by opaque numbers.  Times are ms; a part is a
+session's dominant share of links and places (Ghodsi et al., "Dominant Resource Fairness", NSDI 2011), so a
+client's holding is a share of the fleet.  docs/design/door.md says why it is done so.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from math import inf
+
+from cloverhinge.core.invariants import holds
+from cloverhinge.door.forecast import Curve, LifeTable, curve
+from cloverhinge.door.promises import Promise, Promises
+
+BUCKETS = 64  # of addresses inside a client whom nobody vouches for
+RESERVED = 8  # requests of a client that may wait even where the door is full of others
+BUCKET_PART = 1 / 8  # of the requests that may wait: the most of one bucket where there are many
+CLIENT_PART = 1 / 2  # and of one client
+CLASS_FLOOR = 0.1  # of a bucket's turns, for each class that waits
+SET_UP_PART, SET_UP_MOST_MS = 0.3, 600.0  # of a request's time, kept for its set-up after it is let in
+FULL_MS = 20.0  # what had no room is not asked for again so soon, unless something has left
+LOOK_MS = 250.0  # pace at which forecasts are made anew
+EXPOSURE_MS = 1000.0  # and life tables weighed with what plays
+CURVES_MOST = 256  # pools remembered with a forecast, or as full, at a time
+WINDOW_PART = 0.25  # of a quote: for so long from its time on the promise stands open,
+WINDOW_LEAST_MS, WINDOW_MOST_MS = 5000.0, 30_000.0  # within these: a player's pause; a bound on the line
+QUOTE_LEAST_MS = 250.0  # a viewer that comes sooner finds the same sessions standing
+SEARCH_STEPS = 14  # halvings of the time in which a place is looked for: to one part in 16,000
+PACE_SPAN_MS = 10_000.0  # newcomers of a client are counted over this time
+
+
+@dataclass(frozen=True, slots=True)
+class ClassRule:
+    """What the door goes by of a class."""
+
+    worth: float
+    limit_ms: float  # how long its viewers wait, as a rule
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Requests that the same room serves: a class on a title's cells; of one title alone, where it has
+    seats."""
+
+    class_name: str
+    first_cell: int
+    copies: int
+    title: str = ""
+
+    def meets(self, other: Pool, cells: int) -> bool:
+        """Whether a box of one pool may be a box of the other."""
+        if min(self.copies, other.copies) >= cells:
+            return True
+        ahead = (other.first_cell - self.first_cell) % cells
+        return ahead < self.copies or cells - ahead < other.copies
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    number: int
+    client: int
+    bucket: int
+    pool: Pool
+    viewer: int  # who comes, as a number that is told apart for each client
+    expires_ms: float
+    part: float  # what it will hold, as far as can be told
+    promise: Promise | None = None  # of a ticket that it brought, verified
+    grain_ms: float = 1.0  # quotes reach its viewer rounded up to so much
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    arrival: Arrival
+    lane: Lane
+    since_ms: float
+    latest_ms: float  # after it, no set-up fits into what is left
+    due_ms: float  # its place in its lane
+    promise: Promise | None = None  # that it claims
+
+
+@dataclass(slots=True, eq=False)
+class Lane:
+    """Those of one bucket who wait for the same room."""
+
+    bucket: Bucket
+    pool: Pool
+    waiting: list[Waiter] = field(default_factory=list)  # by `due_ms`
+    promised: int = 0  # promises out that have not been claimed or lost
+    gap_ms: float = inf  # between two of its places, as forecast
+    looked_ms: float = -inf
+
+    @property
+    def places(self) -> int:
+        return len(self.waiting) + self.promised
+
+
+@dataclass(slots=True, eq=False)
+class Bucket:
+    client: Client
+    number: int
+    holding: float = 0.0
+    lanes: dict[Pool, Lane] = field(default_factory=dict)
+    turns: dict[str, float] = field(default_factory=dict)  # of its classes, while they wait: credit of turns
+    waiting: int = 0
+
+
+@dataclass(slots=True)
+class Pace:
+    """A rate that forgets: events, each worth less by e after PACE_SPAN_MS."""
+
+    count: float = 0.0
+    at_ms: float = 0.0
+
+    def add(self, now: float) -> None:
+        self.count = self.count * math.exp((self.at_ms - now) / PACE_SPAN_MS) + 1.0
+        self.at_ms = now
+
+    def per_ms(self, now: float) -> float:
+        return self.count * math.exp((self.at_ms - now) / PACE_SPAN_MS) / PACE_SPAN_MS
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    name: str
+    weight: float
+    divided: bool  # into buckets by address
+    promises: Promises
+    holding: float = 0.0
+    buckets: dict[int, Bucket] = field(default_factory=dict)  # those with a lane or a holding
+    waiting: int = 0
+    sessions: int = 0  # that make up its holding
+    pace: Pace = field(default_factory=lambda: Pace())  # of newcomers
+    asked: int = 0
+    let_in: int = 0
+    refused: int = 0
+    quoted: int = 0  # with a promise
+    kept: int = 0
+    broken: int = 0  # came back as told, and was not let in
+    lost: int = 0  # did not come in the window
+    early: int = 0
+    unpromised: int = 0  # quotes without a promise, as the line was full
+    given_up: int = 0  # waited, and was told before its limit that it would not do
+    error_sum: float = 0.0  # |true - quoted| / quoted of those kept
+    near: int = 0  # of those kept: within 20%
+
+    @property
+    def level(self) -> float:
+        return self.holding / self.weight
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A session that was let in."""
+
+    client: Client
+    bucket: int
+    pool: Pool
+    part: float
+    since_ms: float = 0.0
+    hint_ms: float = 0.0
+    cell: int = -1  # of its box, once it stands
+
+
+# Verdicts
+
+
+@dataclass(frozen=True, slots=True)
+class LetIn:
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class TurnAway:
+    """Answer at once: come back after `quote_ms`.  No promise: the line was full."""
+
+    number: int
+    quote_ms: float
+    client: str = ""
+    promise: Promise | None = None
+
+
+Verdict = LetIn | TurnAway
+Room = Callable[[Pool], bool]  # may the module take one of this pool now?
+
+
+class Door:
+    def __init__(self, clients: list[Client], classes: dict[str, ClassRule], cells: int, room: Room,
+                 waiting_most: int = 512, quote_most_ms: float = 120_000.0) -> None:
+        self.clients, self.classes, self.cells, self.room = clients, classes, cells, room
+        self.waiting_most, self.quote_most_ms = waiting_most, quote_most_ms
+        self.waiters: dict[int, Waiter] = {}  # by request
+        self.waiting_for: Counter[Pool] = Counter()  # how many wait for a pool
+        self.held: dict[int, Held] = {}  # by request
+        self.life = {name: LifeTable() for name in classes}
+        self.full: dict[Pool, float] = {}  # pools without room, and until when that is taken for granted
+        self.curves: dict[Pool, tuple[float, Curve]] = {}
+        self.weighed_ms = -inf
+        self.out: list[Verdict] = []
+
+    # Events
+
+    def arrive(self, now: float, one: Arrival) -> list[Verdict]:
+        """A request: it is let in, waits (no verdict), or is turned away."""
+        self.out = []
+        client = self.clients[one.client]
+        client.asked += 1
+        lane, promise = self._lane(client, one.bucket, one.pool), self._promise(client, one, now)
+        if promise is None:
+            client.pace.add(now)
+        latest, free = self._latest(now, one), self._free(now, one.pool)
+        due = promise.due_ms if promise is not None else now if free else now + self._wait_ms(now, lane)
+        waits = not free and due <= latest and self._may_wait(lane.bucket)
+        early = promise is not None and promise.due_ms > now
+        client.early += early
+        if promise is not None and (free or waits or not early):
+            self._uncount(client, client.promises.claim(promise))
+            lane = self._lane(client, one.bucket, one.pool)
+        if free:
+            self._let_in(now, one, lane, promise)
+        elif waits:
+            self._wait(now, one, lane, latest, due, promise)
+            self._let_next_in(now)
+        elif promise is not None and early:
+            client.refused += 1
+            self.out.append(TurnAway(one.number, promise.due_ms - now, client.name, promise))
+        else:
+            self._quote(now, one, lane, promise)
+        self._tidy(lane)
+        return self.out
+
+    def changed(self, now: float) -> list[Verdict]:
+        """Something has left, or the fleet is another: room may have come."""
+        self.full.clear()
+        return self.serve(now)
+
+    def serve(self, now: float) -> list[Verdict]:
+        """Let in who is next in fair order, if there is room.
+
+        To be called again after each one let in: only what has been carried out shows in the room that is left.
+        """
+        self.out = []
+        self._let_next_in(now)
+        return self.out
+
+    def look(self, now: float) -> list[Verdict]:
+        """Called often while anybody waits: lets in, and answers those who can't be let in in time."""
+        self.out = []
+        self._let_next_in(now)
+        for waiter in list(self.waiters.values()):
+            if now >= waiter.latest_ms:
+                self._turn_away(now, waiter)
+        for lane in {id(x.lane): x.lane for x in self.waiters.values()}.values():
+            gap = self._gap_ms(now, lane)
+            for at, waiter in enumerate(list(lane.waiting)):
+                if now + max(at - 1, 0) * gap > waiter.latest_ms:  # forecasts are rough: one place of grace
+                    self._turn_away(now, waiter)
+        return self.out
+
+    def close(self, now: float) -> list[Verdict]:
+        """Nobody is let in any more: all who wait are answered at once."""
+        self.out = []
+        for waiter in list(self.waiters.values()):
+            self._turn_away(now, waiter)
+        return self.out
+
+    def left(self, now: float, number: int) -> None:
+        """A request is over for the door: its viewer went, or its session ended."""
+        if (waiter := self.waiters.get(number)) is not None:
+            self._unwait(waiter)
+            self._tidy(waiter.lane)
+        elif (held := self.held.pop(number, None)) is not None:
+            held.client.sessions -= 1
+            self._hold(held, -held.part)
+            if held.cell >= 0:
+                self.life[held.pool.class_name].over(now - held.since_ms, held.hint_ms)
+
+    def stands(self, now: float, number: int, cell: int, hint_ms: float) -> None:
+        """A request that was let in has been set up at a box of a cell."""
+        if (held := self.held.get(number)) is not None:
+            held.since_ms, held.cell, held.hint_ms = now, cell, hint_ms
+
+    def carried(self, now: float, one: Arrival, cell: int, hint_ms: float) -> None:
+        """A session that plays already."""
+        self._held(now, one)
+        self.stands(now, one.number, cell, hint_ms)
+
+    def resized(self, number: int, part: float) -> None:
+        """Its rung, and so its part, is another."""
+        if (held := self.held.get(number)) is not None:
+            self._hold(held, part - held.part)
+            held.part = part
+
+    def refused(self, now: float, one: Arrival) -> TurnAway:
+        """The module refused one that was let in: the quote that goes with the refusal."""
+        self.out = []
+        lane = self._lane(self.clients[one.client], one.bucket, one.pool)
+        self.full[one.pool] = now + FULL_MS
+        self._quote(now, one, lane)
+        self._tidy(lane)
+        verdict = self.out.pop()
+        assert isinstance(verdict, TurnAway)
+        return verdict
+
+    # Who comes in
+
+    def _latest(self, now: float, one: Arrival) -> float:
+        return one.expires_ms - min(SET_UP_MOST_MS, max(0.0, one.expires_ms - now) * SET_UP_PART)
+
+    def _has_room(self, now: float, pool: Pool) -> bool:
+        if self.full.get(pool, -inf) > now:
+            return False
+        if self.room(pool):
+            return True
+        if len(self.full) >= CURVES_MOST:
+            self.full.clear()
+        self.full[pool] = now + FULL_MS
+        return False
+
+    def _free(self, now: float, pool: Pool) -> bool:
+        """There is room, and nobody waits who could use it."""
+        return not any(x.meets(pool, self.cells) for x in self.waiting_for) and self._has_room(now, pool)
+
+    def _let_next_in(self, now: float) -> None:
+        waiter = next((x for x in self._order(now) if self._has_room(now, x.arrival.pool)), None)
+        if waiter is None:
+            return
+        bucket, name = waiter.lane.bucket, waiter.arrival.pool.class_name
+        for other, share in self._shares(now, bucket).items():
+            bucket.turns[other] = min(1.0, bucket.turns.get(other, 0.0) + share)
+        bucket.turns[name] = bucket.turns.get(name, 0.0) - 1.0
+        self._unwait(waiter)
+        self._let_in(now, waiter.arrival, waiter.lane, waiter.promise)
+        self._tidy(waiter.lane)
+
+    def _order(self, now: float) -> Iterator[Waiter]:
+        """Who may be next, the first first: by least holding over weight, the bucket's holding, then
+        classes."""
+        for client in sorted((x for x in self.clients if x.waiting), key=lambda x: x.level):
+            for bucket in sorted((x for x in client.buckets.values() if x.waiting), key=lambda x: x.holding):
+                shares = self._shares(now, bucket)
+                for name in sorted(shares, key=lambda x: -(bucket.turns.get(x, 0.0) + shares[x])):
+                    lanes = [x for x in bucket.lanes.values() if x.waiting and x.pool.class_name == name]
+                    for lane in sorted(lanes, key=lambda x: x.waiting[0].due_ms):
+                        yield lane.waiting[0]
+
+    def _shares(self, now: float, bucket: Bucket) -> dict[str, float]:
+        """Turns of the classes that wait in a bucket: by worth over the time that their first has left."""
+        urgency: dict[str, float] = {}
+        for lane in bucket.lanes.values():
+            if lane.waiting:
+                rule, left = self.classes[lane.pool.class_name], lane.waiting[0].latest_ms - now
+                urgent = rule.worth / max(left, 50.0)
+                urgency[lane.pool.class_name] = max(urgency.get(lane.pool.class_name, 0.0), urgent)
+        return self._floored(urgency)
+
+    def _floored(self, urgency: dict[str, float]) -> dict[str, float]:
+        total, count = sum(urgency.values()), len(urgency)
+        free = max(0.0, 1.0 - CLASS_FLOOR * count)
+        return {name: CLASS_FLOOR + free * (x / total if total else 1 / count) for name, x in urgency.items()}
+
+    def _let_in(self, now: float, one: Arrival, lane: Lane, promise: Promise | None) -> None:
+        client = lane.bucket.client
+        client.let_in += 1
+        if promise is not None:
+            client.kept += 1
+            error = abs(now - promise.made_ms - promise.quote_ms) / promise.quote_ms
+            client.error_sum += error
+            client.near += error <= 0.2
+        self._held(now, one)
+        self.out.append(LetIn(one.number))
+
+    def _held(self, now: float, one: Arrival) -> None:
+        held = Held(self.clients[one.client], one.bucket, one.pool, one.part, now)
+        self.held[one.number] = held
+        held.client.sessions += 1
+        self._hold(held, one.part)
+
+    def _hold(self, held: Held, part: float) -> None:
+        client = held.client
+        bucket = self._bucket(client, held.bucket)
+        bucket.holding, client.holding = max(0.0, bucket.holding + part), max(0.0, client.holding + part)
+        self._tidy_bucket(bucket)
+
+    # Who waits
+
+    def _may_wait(self, bucket: Bucket) -> bool:
+        client = bucket.client
+        if client.waiting < RESERVED and bucket.waiting < RESERVED:
+            return True
+        return (len(self.waiters) < self.waiting_most and client.waiting < self.waiting_most * CLIENT_PART
+                and (not client.divided or bucket.waiting < self.waiting_most * BUCKET_PART))
+
+    def _wait(self, now: float, one: Arrival, lane: Lane, latest: float, due: float,
+              promise: Promise | None) -> None:
+        waiter = Waiter(one, lane, now, latest, due, promise)
+        at = len(lane.waiting)
+        while at and lane.waiting[at - 1].due_ms > due:
+            at -= 1
+        lane.waiting.insert(at, waiter)
+        lane.bucket.waiting += 1
+        lane.bucket.client.waiting += 1
+        self.waiters[one.number] = waiter
+        self.waiting_for[one.pool] += 1
+
+    def _unwait(self, waiter: Waiter) -> None:
+        waiter.lane.waiting.remove(waiter)
+        waiter.lane.bucket.waiting -= 1
+        waiter.lane.bucket.client.waiting -= 1
+        del self.waiters[waiter.arrival.number]
+        self.waiting_for[waiter.arrival.pool] -= 1
+        if not self.waiting_for[waiter.arrival.pool]:
+            del self.waiting_for[waiter.arrival.pool]
+        if not waiter.lane.bucket.waiting:
+            waiter.lane.bucket.turns.clear()  # turns that nobody waited for are not kept
+
+    def _turn_away(self, now: float, waiter: Waiter) -> None:
+        """It won't do: said at once, with when it will."""
+        self._unwait(waiter)
+        client = waiter.lane.bucket.client
+        client.given_up += 1
+        self._quote(now, waiter.arrival, waiter.lane, waiter.promise)
+        self._tidy(waiter.lane)
+
+    # Promises and quotes
+
+    def _promise(self, client: Client, one: Arrival, now: float) -> Promise | None:
+        """The promise that this request makes good, if any, remembered or brought as a ticket."""
+        self._lapse(client, now)
+        promise = client.promises.find(one.viewer, one.pool.class_name) or one.promise
+        if promise is None or now > promise.until_ms or not client.promises.open(promise):
+            return None
+        return promise
+
+    def _lapse(self, client: Client, now: float) -> None:
+        for promise in client.promises.lapse(now):
+            client.lost += 1
+            self._uncount(client, promise)
+
+    def _uncount(self, client: Client, promise: Promise | None) -> None:
+        if promise is not None and (bucket := client.buckets.get(promise.bucket)) is not None:
+            if (lane := bucket.lanes.get(promise.pool)) is not None:
+                lane.promised -= 1
+                self._tidy(lane)
+
+    def _quote(self, now: float, one: Arrival, lane: Lane, broken: Promise | None = None) -> None:
+        """Who came as he was told and is not let in stays ahead of all promises of his lane that are out."""
+        client = lane.bucket.client
+        client.refused += 1
+        quote = max(self._wait_ms(now, lane, None if broken is None else len(lane.waiting)), QUOTE_LEAST_MS)
+        client.broken += broken is not None and broken.due_ms <= now
+        quote = math.ceil(quote / one.grain_ms) * one.grain_ms
+        if quote > self.quote_most_ms:
+            client.unpromised += 1
+            self.out.append(TurnAway(one.number, self.quote_most_ms, client.name))
+            return
+        window = min(max(quote * WINDOW_PART, WINDOW_LEAST_MS), WINDOW_MOST_MS)
+        promise = client.promises.give(one.viewer, one.bucket, one.pool, now, quote, window)
+        if promise is None:
+            client.unpromised += 1
+        else:
+            client.quoted += 1
+            lane.promised += 1
+        self.out.append(TurnAway(one.number, quote, client.name, promise))
+
+    # Forecasts
+
+    def _wait_ms(self, now: float, lane: Lane, ahead: int | None = None) -> float:
+        """Until the next free place of a lane comes up, or the one behind so many."""
+        return ((self._places(lane) if ahead is None else ahead) + 1) * self._gap_ms(now, lane)
+
+    def _places(self, lane: Lane) -> int:
+        """Places taken ahead of a newcomer: of his bucket and class, where they want the same room."""
+        return sum(x.places for x in lane.bucket.lanes.values()
+                   if x.pool.class_name == lane.pool.class_name and x.pool.meets(lane.pool, self.cells))
+
+    def _gap_ms(self, now: float, lane: Lane) -> float:
+        if now - lane.looked_ms >= LOOK_MS:
+            lane.gap_ms, lane.looked_ms = self._forecast(now, lane), now
+        return lane.gap_ms
+
+    def _forecast(self, now: float, lane: Lane) -> float:
+        """The time between two places of a lane: that of its next free place, over the places up to it.
+
+        The place comes up when departures suffice for all who go before it in fair order: each client, as
+        far as it wants room, up to the level that this lane's client will have reached by then.
+        """
+        leaving, places = self._curve(now, lane.pool), self._places(lane) + 1
+        want = self._rivals(now, lane, places)
+        low, high = 1.0, 4 * self.quote_most_ms
+        if want(high, leaving) > leaving.within(high):
+            return high / places
+        for _ in range(SEARCH_STEPS):
+            middle = math.sqrt(low * high)
+            if want(middle, leaving) > leaving.within(middle):
+                low = middle
+            else:
+                high = middle
+        return high / places
+
+    def _rivals(self, now: float, lane: Lane, places: int) -> Callable[[float, Curve], float]:
+        """How many sessions, of all clients, have to be let in within a time until a lane's places are
+        reached."""
+        bucket, client = lane.bucket, lane.bucket.client
+        held = sum(x.sessions for x in self.clients)
+        part = max(client.holding / client.sessions if client.sessions
+                   else sum(x.holding for x in self.clients) / held if held else 0.0, 1e-6)
+        need = places / self._class_share(bucket, lane.pool.class_name)
+        beside = [(x.holding / part, self._backlog(x, lane.pool))
+                  for x in client.buckets.values() if x is not bucket and x.lanes]
+        rivals = [(x.weight, x.holding / part, sum(self._backlog(y, lane.pool) for y in x.buckets.values()),
+                   x.pace.per_ms(now)) for x in self.clients if x is not client]
+
+        def want(within_ms: float, leaving: Curve) -> float:
+            stays = 1.0 - min(1.0, leaving.within(within_ms) / max(leaving.standing, 1))
+            mine = bucket.holding / part * stays + need
+            total = need + sum(min(backlog, max(0.0, mine - holding * stays)) for holding, backlog in beside)
+            level = (client.holding / part * stays + total) / client.weight
+            for weight, holding, backlog, pace in rivals:
+                able = level * weight - holding * stays
+                if able > 0:
+                    total += min(able, backlog + pace * within_ms)
+            return total
+
+        return want
+
+    def _class_share(self, bucket: Bucket, name: str) -> float:
+        urgency = {x.pool.class_name: self.classes[x.pool.class_name].worth
+                   / max(self.classes[x.pool.class_name].limit_ms, 50.0)
+                   for x in bucket.lanes.values() if x.places}
+        rule = self.classes[name]
+        urgency.setdefault(name, rule.worth / max(rule.limit_ms, 50.0))
+        return self._floored(urgency)[name]
+
+    def _backlog(self, bucket: Bucket, pool: Pool) -> float:
+        return sum(x.places for x in bucket.lanes.values() if x.pool.meets(pool, self.cells))
+
+    def _curve(self, now: float, pool: Pool) -> Curve:
+        """Departures from the boxes of a pool."""
+        if now - self.weighed_ms >= EXPOSURE_MS:
+            self.weighed_ms = now
+            for name, table in self.life.items():
+                ages = [(now - x.since_ms) / table.length_ms(x.hint_ms) for x in self.held.values()
+                        if x.cell >= 0 and x.pool.class_name == name]
+                step = max(1, len(ages) // 128)
+                table.stale()
+                table.hazard_sums(ages[::step], float(step))
+        made_ms, found = self.curves.get(pool, (-inf, None))
+        if found is None or now - made_ms >= LOOK_MS:
+            if len(self.curves) >= CURVES_MOST:
+                self.curves.clear()
+            standing = [(now - x.since_ms, self.life[x.pool.class_name].length_ms(x.hint_ms),
+                         self.life[x.pool.class_name].hazard_sums()) for x in self.held.values()
+                        if x.cell >= 0 and (x.cell - pool.first_cell) % self.cells < pool.copies
+                        and (not pool.title or x.pool == pool)]
+            found = curve(standing)
+            self.curves[pool] = now, found
+        return found
+
+    # Tables
+
+    def _bucket(self, client: Client, number: int) -> Bucket:
+        if (found := client.buckets.get(number)) is None:
+            found = client.buckets[number] = Bucket(client, number)
+        return found
+
+    def _lane(self, client: Client, number: int, pool: Pool) -> Lane:
+        bucket = self._bucket(client, number)
+        if (found := bucket.lanes.get(pool)) is None:
+            found = bucket.lanes[pool] = Lane(bucket, pool)
+        return found
+
+    def _tidy(self, lane: Lane) -> None:
+        """Guards against tables that grow: an empty lane and a bucket of nothing go."""
+        holds(lane.promised >= 0, "promises counted")
+        if not lane.waiting and lane.promised <= 0 and lane.bucket.lanes.get(lane.pool) is lane:
+            del lane.bucket.lanes[lane.pool]
+        self._tidy_bucket(lane.bucket)
+
+    def _tidy_bucket(self, bucket: Bucket) -> None:
+        if not bucket.lanes and bucket.holding <= 1e-12:
+            bucket.client.buckets.pop(bucket.number, None)
+
+
+def max_min(room: float, demands: list[float], weights: list[float]) -> list[float]:
+    """Shares of `room` by weighted max-min fairness (Bertsekas and Gallager, "Data Networks", 6.5.2)."""
+    given, left = [0.0] * len(demands), max(0.0, room)
+    wanting = sorted((x for x, y in enumerate(demands) if y > 0), key=lambda x: demands[x] / weights[x])
+    total = sum(weights[x] for x in wanting)
+    for at in wanting:
+        given[at] = min(demands[at], left * weights[at] / total)
+        left, total = left - given[at], total - weights[at]
+    return given
+
+
+def shares_due(clients: list[Client]) -> list[float]:
+    """Of what is held in all, the part due to each client now: who has nobody waiting wants no more than he
+    has."""
+    held = sum(x.holding for x in clients)
+    wants = [math.inf if x.waiting or len(x.promises) else x.holding for x in clients]
+    return [x / (held or 1.0) for x in max_min(held, wants, [x.weight for x in clients])]
--- a/cloverhinge/hls/front.py
+++ b/cloverhinge/hls/front.py
@@ -109,8 +109,11 @@
     log = Logger()
 
     def __init__(self, site: HlsSite, router: Router, boxes: HlsBoxes, plays: Plays,
-                 challenge: Callable[[str], str | None] = lambda token: None) -> None:
+                 challenge: Callable[[str], str | None] = lambda token: None,
+                 identify: Callable[[str, str, str, str], int] | None = None) -> None:
+        """`identify` is the door's: peer, client, proof and play id to the client's number, or ValueError."""
         super().__init__()  # type: ignore[no-untyped-call]
+        self.identify = identify
         self.site, self.router, self.boxes, self.plays, self.challenge = site, router, boxes, plays, challenge
 
     def render(self, request: Any) -> Any:
@@ -163,14 +166,20 @@
             fields = {}
             if final.status == 503:
                 fields["Retry-After"] = str(max(1, math.ceil(final.retry_ms / 1000.0)))
+                if self.identify is not None:
+                    fields["X-Hold-Off"] = str(math.ceil(final.retry_ms))
+                if final.ticket:
+                    fields["X-Ticket"] = final.ticket
             return final.status, final.why + "\n", "text/plain", fields
 
     async def _play(self, request: Any, class_name: str, title_name: str) -> Answer:
         kind, title = self.router.classes.get(class_name), self.site.titles.get(title_name)
         if kind is None or title is None or (title.classes and class_name not in title.classes):
             raise Final(404, "no such class or title")
-        told = request.args.get(b"play", [])
+        told, words = request.args.get(b"play", []), self._words(request, "client", "proof", "ticket")
         if not told:
+            if words[0] or words[1]:
+                raise Final(400, "a proof is made for a play id: ?play=ID&client=NAME&proof=HEX")
             if kind.effect is not Effect.REPEATABLE:
                 raise Final(400, "a paid session needs a play id: ?play=ID")
             # Under an id of its own, so that the player's next fetch finds this session again.
@@ -179,10 +188,23 @@
         key = told[0].decode("ascii", "replace")
         if len(told) != 1 or not PLAY_ID.fullmatch(key):
             raise Final(400, "a play id is 8 to 128 letters, digits, '.', '_', '~' or '-'")
+        peer, client = str(request.getClientAddress().host), -1
+        if self.identify is not None:
+            try:
+                client = self.identify(peer, words[0], words[1], key)
+            except ValueError as error:
+                raise Final(403, str(error)) from None
         play = self.plays.find(key, class_name, title_name, title)
+        play.peer, play.client, play.ticket = peer, client, words[2]
         self.plays.touch(play)
         return 200, await self._session(play, None), manifests.CONTENT_TYPE, {}
 
+    @staticmethod
+    def _words(request: Any, *names: str) -> list[str]:
+        """What the query says under names; where a name comes twice, nothing that fits."""
+        told = [request.args.get(name.encode(), [b""]) for name in names]
+        return ["?" if len(one) != 1 else one[0].decode("ascii", "replace") for one in told]
+
     def sign(self, token: str, number: int) -> str:
         return hmac.new(self.site.key, f"{token}/{number}".encode(), hashlib.sha256).hexdigest()[:32]
 
--- a/cloverhinge/hls/plays.py
+++ b/cloverhinge/hls/plays.py
@@ -28,9 +28,9 @@
 class Final(Exception):
     """A fetch ends without a manifest: its status, and when to come back."""
 
-    def __init__(self, status: int, why: str, retry_ms: float = 0.0) -> None:
+    def __init__(self, status: int, why: str, retry_ms: float = 0.0, ticket: str = "") -> None:
         super().__init__(why)
-        self.status, self.why, self.retry_ms = status, why, retry_ms
+        self.status, self.why, self.retry_ms, self.ticket = status, why, retry_ms, ticket
 
 
 class Over(Exception):
@@ -44,6 +44,9 @@
     title_name: str
     title: Title
     paid: bool
+    peer: str = ""  # the address of its last fetch
+    client: int = -1  # the door's number of the client that vouched for it
+    ticket: str = ""
     token: str = field(default_factory=lambda: secrets.token_hex(16))
     handle: int = 0
     request: Request | None = None  # the set-up under way, or the session that stands
@@ -75,8 +78,8 @@
         self.play.fresh = answer
         self.play.wake()
 
-    def refused(self, hold_off_ms: float) -> None:
-        self._unserved(Final(503, "no room now", max(hold_off_ms, BUSY_MS)))
+    def refused(self, hold_off_ms: float, ticket: str = "") -> None:
+        self._unserved(Final(503, "no room now", max(hold_off_ms, BUSY_MS), ticket))
 
     def failed(self, why: Outcome | None) -> None:
         late = why in (Outcome.TIMEOUT, None)
@@ -182,7 +185,8 @@
         viewer = PlayViewer(self, play)
         play.fresh = None
         ask = Ask(self.new_name(), play.class_name, play.title_name, title.first_cell, title.copies,
-                  title.ceiling, kind.deadline_us / 1000.0, length_ms=title.length_ms, viewer=play.key)
+                  title.ceiling, kind.deadline_us / 1000.0, length_ms=title.length_ms, viewer=play.key,
+                  peer=play.peer, client=play.client, ticket=play.ticket, grain_ms=BUSY_MS)
         request = self.router.take(ask, viewer, self.boxes)
         if request is None:
             raise Final(503, "too many requests", BUSY_MS)
--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory, connectionDone
@@ -140,8 +142,14 @@
         self.stands(True)
         self._answer(200, None, answer)
 
-    def refused(self, hold_off_ms: float) -> None:
-        self._answer(503, {"X-Hold-Off": str(round(hold_off_ms))} if hold_off_ms > 0 else None)
+    def refused(self, hold_off_ms: float, ticket: str = "") -> None:
+        """The door's quotes may lie behind what the settings let be told: who comes back earlier is told
+        more."""
+        told = min(hold_off_ms, self.front.router.settings.max_retry_after_us / 1000.0)
+        fields = {"X-Hold-Off": str(round(told))} if told > 0 else {}
+        if ticket:
+            fields["X-Ticket"] = ticket
+        self._answer(503, fields)
 
     def failed(self, why: Outcome | None) -> None:
         self._answer(504 if why is Outcome.TIMEOUT else 500)
@@ -171,6 +179,8 @@
         self.connections = 0  # those on their way out included
         self.held: deque[tuple[float, bytes]] = deque(maxlen=HELD_MOST)
         self.ready = True
+        # Of the door: peer, client, proof and session to the client's number; ValueError where it is forged.
+        self.identify: Callable[[str, str, str, str], int] | None = None
 
     def start(self) -> None:
         self._sweep()
@@ -219,6 +229,14 @@
         ask, at = read_ask(message)
         if ask.class_name not in self.router.classes:
             raise rtsp.Malformed("unknown class", 400)
+        if self.identify is not None:
+            words = [message.headers.get(x, "") for x in ("x-client", "x-client-proof")]
+            try:
+                client = self.identify(line.peer, words[0], words[1], ask.name)
+            except ValueError as error:
+                line.send(rtsp.response(403, "1", ask.name, {"X-Why": str(error)}))
+                return
+            ask = replace(ask, peer=line.peer, client=client, ticket=message.headers.get("x-ticket", ""))
         viewer = RtspViewer(self, line, ask.name)
         if at:
             if self.router.carry(ask, number_of(at), viewer, self.boxes) is not None:
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -51,6 +51,12 @@
         self.web_ports: list[Any] = []
         self.plays: Any = None  # of the HLS front, where there is one
         self.keeper: Any = None  # of certificates
+        self.gate: Any = None  # the door, where there is one
+        if site.door is not None:
+            from cloverhinge.door.gate import Gate  # loaded only where the door is wanted
+
+            self.gate = Gate(site.door, self.router, self.deadlines, config.seed)
+            self.front.identify = self.gate.clients.identify
         self.started_ms = self.clock.now()
 
     def start(self) -> None:
@@ -77,7 +83,8 @@
         boxes = HlsBoxes(reactor, self.router, self.deadlines, self.config.connect_ms, self.boxes,
                          site.box_port, site.boxes, site.manifest_bytes)
         held = self.plays = plays.Plays(self.router, boxes, self.deadlines, site.idle_ms)
-        root = front.Front(site, self.router, boxes, held, self._proof)
+        root = front.Front(site, self.router, boxes, held, self._proof,
+                           None if self.gate is None else self.gate.clients.identify)
         host, port = site.listen
         wired = front.factory(root, self.config.sockets // 4, self.deadlines)
         web = reactor.listenTCP(port, wired, backlog=BACKLOG, interface=host)
@@ -158,6 +165,8 @@
     def _finish(self) -> None:
         for port in (self.port, *self.web_ports):
             port.stopListening()
+        if self.gate is not None:
+            self.gate.close()
         self.router.on_open = self._when_answered
         self._when_answered()
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -131,7 +131,7 @@
     def served(self, answer: bytes) -> None:
         self.told.append(("served", answer))
 
-    def refused(self, hold_off_ms: float) -> None:
+    def refused(self, hold_off_ms: float, ticket: str = "") -> None:
         self.told.append(("refused",))
 
     def failed(self, why: Outcome | None) -> None:
