--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from itertools import takewhile
 
 from cloverhinge.decision.interface import (
     FleetUpdate,
@@ -135,7 +136,8 @@
             self.moments.popleft()
         if span_us is None or span_us >= self.span_us:
             return len(self.moments)
-        return sum(1 for moment in self.moments if moment > now_us - span_us)
+        # From the latest back, as short spans are asked for at each request.
+        return sum(1 for _ in takewhile(lambda moment: moment > now_us - span_us, reversed(self.moments)))
 
     def pace(self, now_us: int, since_us: int, spans_us: tuple[int, ...]) -> float:
         """So many a second, over the span in which they were most; counted from `since_us` on."""
