The door: cheap where there is room, bounded lanes, cut sessions teach nothing of lengths

Need: each let-in asked the module for room (50 us), a bucket could hold a lane for each made-up pool, and sessions cut with their box counted as if they had lived out. Change: room is told as a count, and a quarter of it is let in before it is asked for again within 20 ms; 64 lanes a bucket; outcomes RESET are left out of life tables.

--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -366,6 +366,7 @@
              tell_viewer: bool) -> None:
         server = request.server
         assert server is not None
+        request.last_outcome = outcome
         self.counters.ended += 1
         self._drop(request)
         at_server = self.standing.get(server, {})
--- a/cloverhinge/door/fair.py
+++ b/cloverhinge/door/fair.py
@@ -19,12 +19,14 @@
 from cloverhinge.door.promises import Promise, Promises
 
 BUCKETS = 64  # of addresses inside a client whom nobody vouches for
+LANES_MOST = 64  # of a bucket: who asks for yet another pool is quoted without a promise
 RESERVED = 8  # requests of a client that may wait even where the door is full of others
 BUCKET_PART = 1 / 8  # of the requests that may wait: the most of one bucket where there are many
 CLIENT_PART = 1 / 2  # and of one client
 CLASS_FLOOR = 0.1  # of a bucket's turns, for each class that waits
 SET_UP_PART, SET_UP_MOST_MS = 0.3, 600.0  # of a request's time, kept for its set-up after it is let in
 FULL_MS = 20.0  # what had no room is not asked for again so soon, unless something has left
+ROOMY_PART = 0.25  # of the room that is told, let in at the most before it is asked for again
 LOOK_MS = 250.0  # pace at which forecasts are made anew
 NEAR = 0.8  # places so near to each other share a forecast
 SHOW_WEIGHT = 1 / 32  # of the latest promise, claimed or lost, in the share that is claimed
@@ -192,7 +194,7 @@
 
 
 Verdict = LetIn | TurnAway
-Room = Callable[[Pool], bool]  # may the module take one of this pool now?
+Room = Callable[[Pool], int]  # how many of this pool the module may take now, about
 
 
 class Door:
@@ -204,7 +206,9 @@
         self.waiting_for: Counter[Pool] = Counter()  # how many wait for a pool
         self.held: dict[int, Held] = {}  # by request
         self.life = {name: LifeTable() for name in classes}
-        self.full: dict[Pool, float] = {}  # pools without room, and until when that is taken for granted
+        self.full: dict[Pool, float] = {}  # pools without room: until when that is taken as known
+        self.roomy: dict[Pool, tuple[float, int]] = {}  # ample room: until when, and how many entered by then
+        self.entered = 0  # let in, of all pools
         self.curves: dict[Pool, tuple[float, Curve]] = {}
         self.weighed_ms = -inf
         self.out: list[Verdict] = []
@@ -270,6 +274,12 @@
                     self._turn_away(now, waiter)
         return self.out
 
+    def fleet_changed(self) -> None:
+        """What was learned of room and departures was of another fleet."""
+        self.full.clear()
+        self.roomy.clear()
+        self.curves.clear()
+
     def close(self, now: float) -> list[Verdict]:
         """Nobody is let in any more: all who wait are answered at once."""
         self.out = []
@@ -277,15 +287,15 @@
             self._turn_away(now, waiter)
         return self.out
 
-    def left(self, now: float, number: int) -> None:
-        """A request is over for the door: its viewer went, or its session ended."""
+    def left(self, now: float, number: int, lived: bool = True) -> None:
+        """A request is over: its viewer went, or its session ended; if it was cut, it has not `lived`."""
         if (waiter := self.waiters.get(number)) is not None:
             self._unwait(waiter)
             self._tidy(waiter.lane)
         elif (held := self.held.pop(number, None)) is not None:
             held.client.sessions -= 1
             self._hold(held, -held.part)
-            if held.cell >= 0:
+            if held.cell >= 0 and lived:
                 self.life[held.pool.class_name].over(now - held.since_ms, held.hint_ms)
 
     def stands(self, now: float, number: int, cell: int, hint_ms: float) -> None:
@@ -323,7 +333,14 @@
     def _has_room(self, now: float, pool: Pool) -> bool:
         if self.full.get(pool, -inf) > now:
             return False
-        if self.room(pool):
+        until_ms, entered = self.roomy.get(pool, (-inf, 0))
+        if now < until_ms and self.entered < entered:
+            return True
+        if count := self.room(pool):
+            if count * ROOMY_PART >= 1:
+                if len(self.roomy) >= CURVES_MOST:
+                    self.roomy.clear()
+                self.roomy[pool] = now + FULL_MS, self.entered + int(count * ROOMY_PART)
             return True
         if len(self.full) >= CURVES_MOST:
             self.full.clear()
@@ -375,6 +392,7 @@
     def _let_in(self, now: float, one: Arrival, lane: Lane, promise: Promise | None) -> None:
         client = lane.bucket.client
         client.let_in += 1
+        self.entered += 1
         if promise is not None:
             client.kept += 1
             error = abs(now - promise.made_ms - promise.quote_ms) / promise.quote_ms
@@ -399,6 +417,8 @@
 
     def _may_wait(self, bucket: Bucket) -> bool:
         client = bucket.client
+        if len(bucket.lanes) > LANES_MOST:
+            return False
         if client.waiting < RESERVED and bucket.waiting < RESERVED:
             return True
         return (len(self.waiters) < self.waiting_most and client.waiting < self.waiting_most * CLIENT_PART
@@ -464,9 +484,10 @@
         quote = max(self._wait_ms(now, lane, SPARE, broken is not None), QUOTE_LEAST_MS)
         client.broken += broken is not None and broken.due_ms <= now
         quote = math.ceil(quote / one.grain_ms) * one.grain_ms
-        if quote > self.quote_most_ms:
+        if quote > self.quote_most_ms or len(lane.bucket.lanes) > LANES_MOST:
+            quote = min(quote, self.quote_most_ms)
             client.unpromised += 1
-            self.out.append(TurnAway(one.number, self.quote_most_ms, client.name))
+            self.out.append(TurnAway(one.number, quote, client.name))
             return
         window = min(max(quote * WINDOW_PART, WINDOW_LEAST_MS), WINDOW_MOST_MS)
         promise = client.promises.give(one.viewer, one.bucket, one.pool, now, quote, window)
--- a/cloverhinge/door/gate.py
+++ b/cloverhinge/door/gate.py
@@ -9,6 +9,7 @@
 from cloverhinge.core.deadlines import Deadlines, Key
 from cloverhinge.core.model import Ask, Request, State
 from cloverhinge.core.router import Router
+from cloverhinge.decision.interface import Outcome
 from cloverhinge.decision.room import room
 from cloverhinge.door import fair
 from cloverhinge.door.clients import Clients
@@ -16,6 +17,7 @@
 from cloverhinge.door.tickets import Tickets
 from cloverhinge.site.model import DoorSite
 
+CLOSED_MS = 1000.0  # told by a program that ends: a restart takes about so long
 TICK_MS = 50.0  # pace of looking while anybody waits; fine beside the 600 ms kept for a set-up
 SERIAL_BITS = 20  # of a run's serials, which start at its start in ms: no later run begins below them
 
@@ -46,7 +48,7 @@
 
     def arrive(self, request: Request) -> None:
         if self.closed:
-            self.router.turn_away(request, 0.0, "")
+            self.router.turn_away(request, CLOSED_MS, "")
             return
         self._carry_out(self.door.arrive(self.clock.now(), self._arrival(request)))
 
@@ -67,7 +69,7 @@
         self.door.resized(request.handle, self._part(request))
 
     def over(self, request: Request) -> None:
-        self.door.left(self.clock.now(), request.handle)
+        self.door.left(self.clock.now(), request.handle, request.last_outcome is not Outcome.RESET)
         if self.door.waiters:
             self._soon()
 
@@ -78,7 +80,7 @@
         self.places = float(sum(told.places_by_kind.get(x.kind, 0) for x in listings)) or 1e12
         for request in self.router.requests:
             self.door.resized(request.handle, self._part(request))
-        self.door.curves.clear()
+        self.door.fleet_changed()
         if self.door.waiters:
             self._soon()
 
@@ -123,7 +125,7 @@
 
     # What the door has to be told
 
-    def _room(self, pool: fair.Pool) -> bool:
+    def _room(self, pool: fair.Pool) -> int:
         return room(self.router.controller, to_us(self.clock.now()), pool.class_name, pool.first_cell,
                     pool.copies, pool.title)
 
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -69,3 +69,12 @@
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True,
                           timeout=WAIT_S)
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
+
+
+def test_the_door_of_the_example_is_right_once_it_is_uncommented(tmp_path: Path) -> None:
+    text = (ROOT / "example/site.toml").read_text()
+    at = text.index("# [door]")
+    path = tmp_path / "site.toml"
+    path.write_text(text[:at] + re.sub(r"^# ?", "", text[at:], flags=re.M))
+    door = site.read(path).door
+    assert door is not None and [one.name for one in door.clients] == ["maple", "others"]
