--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -230,6 +230,8 @@
     back, again = line.ask(1, viewer=7, wait_ms=30_000.0), line.ask(1, viewer=7, wait_ms=30_000.0)
     line.end(min(line.door.held))
     assert line.let_in(back) and not line.let_in(newcomer) and not line.let_in(again)
+    line.end(min(line.door.held))
+    assert line.let_in(newcomer) and not line.let_in(again), "claimed once: the second comes as a newcomer"
     client = line.door.clients[1]
     assert (client.kept, client.early, client.broken) == (1, 1, 0)
 
