--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,153 @@
+"""A long life of one router: a million requests in virtual time, and what is held after each tenth.
+
+    python -m benchmarks.soak [REQUESTS]
+
+The real core and module; boxes, viewers and the list are models.  Boxes are drained and replaced by new ones
+with new ids all the time, titles are new every ten minutes, one set-up in a hundred errs, one in a hundred is
+never answered, one session in fifty is cut.  A table that grows with what has passed, rather than with what
+stands, shows in its row.  Each viewer is a new one; what the model itself holds is in the row `model`.
+"""
+
+from __future__ import annotations
+
+import gc
+import sys
+from typing import Any
+
+from benchmarks.tables import keep
+from benchmarks.world import NOTES_MS, Crowd, World, settings
+from cloverhinge.core.model import Attempt, Request, State
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.interface import Outcome
+
+REQUESTS, POINTS = 1_000_000, 10
+BOXES, PLACES = 24, 20
+PER_S = 40.0  # of newcomers; room is for 48 a second at the floor, so that some are refused
+REPLACE_MS = 20_000.0  # pace at which boxes are replaced
+LEAVE_MS = 15_000.0  # from its drain to its end
+ERRS, SILENT, CUT = 0.01, 0.01, 0.02  # shares of set-ups, and of sessions
+PROBE_MS = 5.0
+
+
+class Site(World):
+    """The small site with boxes that come, err, fall silent and go."""
+
+    def __init__(self, told: api.Settings, crowds: list[Crowd], seed: int) -> None:
+        super().__init__(told, crowds, seed, BOXES)
+        self.router.prober = self
+        self.next_box = 10 + BOXES
+        self.deadlines.after(REPLACE_MS, self._replace)
+
+    def _replace(self) -> None:
+        at = self.random.randrange(len(self.listings))
+        old = self.listings[at]
+        new = api.ServerListing(self.next_box, old.cell, "z", "box", started_us=int(self.clock.now() * 1000))
+        self.next_box += 1
+        self.listings[at] = new
+        self.load[new.server] = {}
+        gone = api.ServerListing(old.server, old.cell, "z", "box", health=api.Health.GONE)
+        leaving = api.ServerListing(old.server, old.cell, "z", "box", health=api.Health.DRAINING)
+        self.router.fleet(api.ListKind.DELTA, (leaving, new))
+        self.deadlines.after(LEAVE_MS, lambda: self._gone(gone))
+        self.deadlines.after(REPLACE_MS, self._replace)
+
+    def _gone(self, listing: api.ServerListing) -> None:
+        self.load.pop(listing.server, None)
+        self.router.fleet(api.ListKind.DELTA, (listing,))
+
+    def set_up(self, attempt: Attempt) -> None:
+        chance = self.random.random()
+        if chance < SILENT:
+            if self.router.may_write(attempt):
+                return
+        elif chance < SILENT + ERRS:
+            self.deadlines.after(PROBE_MS, lambda: self._err(attempt))
+            return
+        super().set_up(attempt)
+
+    def _err(self, attempt: Attempt) -> None:
+        if self.router.may_write(attempt):
+            self.router.attempt_ended(attempt, Outcome.ERROR)
+
+    def _answer(self, attempt: Attempt) -> None:
+        if attempt.server in self.load:
+            super()._answer(attempt)
+        elif self.router.may_write(attempt):
+            self.router.attempt_ended(attempt, Outcome.RESET)
+
+    def _ends(self, request: Request) -> None:
+        if request.state is State.STANDS and self.random.random() < CUT:
+            self.router.cut(request)
+        super()._ends(request)
+
+    def probe(self, server: int) -> None:
+        self.deadlines.after(PROBE_MS, lambda: self._probed(server))
+
+    def _probed(self, server: int) -> None:
+        sessions = self.load.get(server)
+        if sessions is None:
+            self.router.probed(server, Outcome.CONNECT_FAILED, PROBE_MS, None)
+            return
+        kb = sum(self.told.ladder_kb[x.rung or 0] for x in sessions.values())
+        report = api.LoadReport(len(sessions), kb / self.told.weight_kb, None)
+        self.router.probed(server, Outcome.SERVED, PROBE_MS, report)
+
+
+def resident_mb() -> float:
+    gc.collect()
+    with open("/proc/self/status") as file:
+        return next(int(line.split()[1]) for line in file if line.startswith("VmRSS")) / 1024.0
+
+
+def tables(site: Site) -> dict[str, int]:
+    """Entries of everything that a router holds between two events, by name."""
+    router = site.router
+    module, fleet = router.controller, router.controller.fleet
+    limits = [limit for server in fleet.servers.values() for limit in (server.link, server.places)]
+    limits += fleet.racks.values()
+    return {
+        "core: requests": len(router.requests), "core: by_name": len(router.by_name),
+        "core: by_title": sum(map(len, router.by_title.values())), "core: titles": len(router.by_title),
+        "core: standing": sum(map(len, router.standing.values())), "core: listings": len(router.listings),
+        "core: deadlines": len(router.deadlines),
+        "module: sessions": len(module.sessions), "module: tokens": len(module.tokens),
+        "module: asked": len(module.asked), "module: recent requests": len(module.requests.moments),
+        "module: recent attempts": len(module.further.moments), "module: odd titles": len(module.odd),
+        "module: logged": len(module.logged), "module: servers": len(fleet.servers),
+        "module: racks": len(fleet.racks), "module: by_cell": sum(map(len, fleet.by_cell.values())),
+        "module: bookings kept": sum(len(limit.history) for limit in limits),
+        "module: sessions by limit": sum(len(limit.sessions) for limit in limits),
+        "module: titles that erred": sum(len(server.erred) for server in fleet.servers.values()),
+        "model": sum(map(len, site.load.values())),
+    }
+
+
+def main(requests: int) -> None:
+    told = settings(BOXES, PLACES, racks=4, uplink_kb=BOXES * PLACES * 100.0 / 4, may_probe=True,
+                    cold_us=5_000_000, cold_from=0.5, fall_multiple=2.0, budget_free=10.0, budget_ratio=0.2,
+                    budget_span_us=10_000_000)
+    crowd = Crowd("all", "198.18.0.1", PER_S, titles=400, fresh_ms=600_000.0, checks=0.2)
+    site = Site(told, [crowd], seed=1)
+    points: list[dict[str, Any]] = []
+    while len(points) < POINTS:
+        site.run(NOTES_MS)
+        if site.router.counters.taken * POINTS >= requests * (len(points) + 1):
+            counted = site.router.counters
+            points.append({"requests": counted.taken, "served": counted.served, "refused": counted.refused,
+                           "failed": counted.failed, "cut": counted.cut,
+                           "boxes so far": site.next_box - 10,
+                           "hours": (site.clock.now() - site.start_ms) / 3.6e6,
+                           "resident MB": round(resident_mb(), 2)} | tables(site))
+            print(f"{counted.taken} requests, {points[-1]['resident MB']} MB", flush=True)
+    rows: list[dict[str, Any]] = [
+        {"what": name} | {str(at): point[name] for at, point in enumerate(points, 1)} for name in points[0]]
+    half = points[POINTS // 2 - 1]
+    grown = [name for name in tables(site) if points[-1][name] > 1.5 * max(half[name], 50)]
+    keep("soak", "A long life of one router", [
+        (f"{requests:,} requests in virtual time, {POINTS} points.  Over its second half the resident memory "
+         f"changed by {points[-1]['resident MB'] - half['resident MB']:+.2f} MB; tables that grew by more "
+         f"than half in it: {', '.join(grown) or 'none'}.", rows)], "python -m benchmarks.soak")
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else REQUESTS)
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -62,6 +62,7 @@
     asked_ms: float = 0.0
     request: Request | None = None
     ticket: str = ""
+    title: str = ""
 
     def ask(self) -> None:
         self.tries += 1
@@ -72,7 +73,9 @@
         limit = 3000.0 if self.class_name == "check" else 5000.0
         self.world.count += 1
         peer = self.who.peer if self.who.peers == 1 else f"198.18.{self.world.count % self.who.peers}.7"
-        ask = Ask(f"{self.world.count:016x}", self.class_name, self.who.title, 0, 64, 1, limit,
+        if not self.title:
+            self.title = self.who.pick(self.world.random.random(), self.asked_ms - self.world.start_ms)
+        ask = Ask(f"{self.world.count:016x}", self.class_name, self.title, 0, 64, 1, limit,
                   length_ms=self.length_ms * self.world.random.lognormvariate(0, 0.3),
                   viewer=self.name, peer=peer, ticket=self.ticket if self.who.carries else "")
         if self.world.router.take(ask, self, self.world) is None:
@@ -116,6 +119,8 @@
     until_ms: float = math.inf
     from_ms: float = 0.0
     title: str = "t"
+    titles: int = 1  # so many, asked for by Zipf's law
+    fresh_ms: float = math.inf  # after so long all titles are new ones
     checks: float = 0.0  # share of them that ask for a check
     length_ms: float = 10_000.0
     spread: float = 0.5  # sigma of the lognormal lengths
@@ -127,6 +132,12 @@
     peers: int = 1  # addresses that they come from
     tally: Tally = field(default_factory=Tally)
 
+    def pick(self, chance: float, since_ms: float) -> str:
+        """The title that a viewer asks for; `chance` is uniform in [0, 1)."""
+        if self.titles == 1:
+            return self.title
+        return f"{self.title}-{int(since_ms // self.fresh_ms)}-{int(self.titles ** chance)}"
+
 
 class World:
     def __init__(self, told: api.Settings, crowds: list[Crowd], seed: int = 1, boxes: int = 4,
