Large fleets: fewer questions, honest averages, steps as soon as a share is lost

Checked and ruled out: boxes that refuse (69 of 5,000 set-ups), routers that are late, places, hot links (spread 0.2). At fault, in logic.py: unsure() weighed doubt against the mark that keeps room for others rather than the load from which sessions fall short; choose() asked boxes whose rack was known to be full; average() added the own pace times the fleet with no departures, and took inferred loads for a sample; learn() let questions' answers step nobody down; step_down() told itself that it had stepped when no step was cheap enough; DeliveredShare moved no rung above 1.08 and was not taken back when it was over; raise_rungs() raised nobody whose own link went unheard; token_holder() started titles at boxes without a connection. Small fleets (under 10 routers) keep their ways but the last of step_down.

--- a/cloverhinge/decision/interface.py
+++ b/cloverhinge/decision/interface.py
@@ -124,6 +124,16 @@
     budget_ratio: float = 0.0
     budget_span_us: int = 0  # 0 = further attempts are not rationed
 
+    def rates(self, kind: ServiceClass) -> list[float]:
+        """kB a second of each rung, as the class uses it."""
+        return [kb * kind.rate_scale for kb in self.ladder_kb]
+
+    def step_gains(self, kind: ServiceClass) -> list[float]:
+        """Worth of the step up to each rung for each kB of it; at the class's floor, of all of its rate."""
+        worth, kb = self.rung_worth, self.rates(kind)
+        return [kind.worth * (worth[x] - (x > kind.floor) * worth[x - 1])
+                / max(kb[x] - (x > kind.floor) * kb[x - 1], 1e-9) for x in range(len(kb))]
+
     def __post_init__(self) -> None:
         last = len(self.ladder_kb) - 1
         checks: list[tuple[str, bool]] = [
--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -17,7 +17,8 @@
 
 MARK = 0.90  # load up to which sessions are admitted; the rest is room for the spread of true rates
 RESERVE = 0.2  # load left free by steps that earn nothing, in proportion by others
-EASED = 0.98  # load that a step down aims at
+PLAYING = 0.85  # load that a step down aims at among many instances, where newcomers need the room
+EASED = 0.98  # load that other steps down aim at, and up to which no session falls short
 SHORT = 1.08  # load told from which own sessions step down; under it notes are too noisy to pay for a change
 RAISE_MARK = 0.80  # load up to which playing sessions are raised; under MARK, so that newcomers find room
 DELIVERED = 0.98  # share of the rate under which viewers lose
@@ -58,9 +59,8 @@
         self.odd: dict[str, tuple[set[int], int]] = {}  # titles that erred: the servers, and the last moment
         self.further = Recent(settings.budget_span_us)  # attempts beyond a session's first
         self.logged: dict[str, int] = {}
-        self.rates = {x.name: [kb * x.rate_scale for kb in settings.ladder_kb] for x in settings.classes}
-        self.gains = {x.name: [self.gain(x, rung) for rung in range(len(settings.ladder_kb))]
-                      for x in settings.classes}  # worth of the step up to each rung for each kB of it
+        self.rates = {x.name: settings.rates(x) for x in settings.classes}
+        self.gains = {x.name: settings.step_gains(x) for x in settings.classes}
         self.best = {x.name: x.worth * max(map(operator.truediv, settings.rung_worth[x.floor:], self.rates[
             x.name][x.floor:])) for x in settings.classes}  # the most earned for each kB of a whole rate
         self.many, kb = settings.fleet_size >= MANY, settings.ladder_kb
@@ -98,12 +98,16 @@
                 self.learn(servers[server], api.LoadReport(link=load), past_us, act=True)
             case api.UplinkNote(_, server, load) if server in servers:
                 self.learn(servers[server], api.LoadReport(uplink=load), past_us, act=True)
-            case api.DeliveredShare(_, server, share) if server in servers and 0 < share < DELIVERED:
+            case api.DeliveredShare(_, server, share) if server in servers and share >= DELIVERED:
+                for limit in servers[server].limits()[::2]:
+                    if limit.inferred:  # over, and how much room there is now is unknown
+                        limit.load, limit.inferred = None, False
+            case api.DeliveredShare(_, server, share) if server in servers and share > 0:
                 # Guards against a short link or uplink of untold load: the share delivered implies the load.
                 short = max(servers[server].limits()[::2], key=lambda x: x.load or 0.0)
-                if past_us >= short.described_us and (short.load or 0.0) < 1 / share:
-                    short.load, short.described_us = 1 / share, past_us
-                    self.step_down(short)
+                if past_us >= short.described_us and (short.inferred or (short.load or 0.0) < 1 / share):
+                    short.load, short.described_us, short.inferred = 1 / share, past_us, True
+                    self.step_down(short, 1.0 if self.many else SHORT)
             case api.RungInForce(number, _, rung):
                 if (session := self.sessions.get(number)) and session.server and session.rung != rung:
                     session.book(self.now, session.server, rung)
@@ -125,17 +129,19 @@
             self.out.append(api.Log(f"{kind}: {text}"))
 
     def load_of(self, limit: Limit) -> float:
-        """Last report, own bookings since, what peers may have added; the unheard count as average.  Guards
-        against own growth times the fleet, by which one session fills a server: peers go by the own pace."""
+        """Last report, own bookings since, and what few peers may have added by the own pace; the unheard
+        count as average.  Many peers' sessions end as others start, and the own pace tells little of it."""
         if limit.load is not None and (age_us := self.now - limit.described_us) < STALE_US:
-            return limit.load + limit.grown() + self.average(limit.peers)[1] * age_us / 1e6
+            return limit.load + limit.grown() + (not self.many) * self.average(limit.peers)[1] * age_us / 1e6
         return max(limit.booked / limit.capacity, self.average(limit.peers)[0])
 
     def average(self, peers: list[Limit]) -> tuple[float, float, float]:
         """Of limits of a kind: the mean load heard lately, what other instances add to each a second, and the
         spread of the loads."""
         if id(peers) not in self.averages:
-            loads = [x.load for x in peers if x.load is not None and self.now - x.described_us < STALE_US]
+            # Only what is short is inferred: it says nothing of the others.
+            loads = [x.load for x in peers if x.load is not None and not x.inferred
+                     and self.now - x.described_us < STALE_US]
             mean = sum(x.booked for x in peers) / max(len(self.sessions), 1)
             others = self.requests.count(self.now, PACE_SPAN_US) * (self.settings.fleet_size - 1)
             added = mean * others * 1e6 / PACE_SPAN_US / max(sum(x.capacity for x in peers), 1e-9)
@@ -153,28 +159,21 @@
             if limit.load is not None and self.now - limit.described_us < STALE_US:
                 forecast = limit.load + limit.grown(described_us)
                 load = forecast + min(max(TRUST_GAIN, abs(load - forecast) / JUMP), 1.0) * (load - forecast)
-            limit.load, limit.described_us = load, described_us
+            limit.load, limit.described_us, limit.inferred = load, described_us, False
             if limit is not server.places:
                 if act:
                     self.step_down(limit)
+                elif self.many:  # each asks by itself, and takes its own share then
+                    self.step_down(limit, MARK, PLAYING, min(self.best.values()) / STEP_GAIN)
                 room = RAISE_MARK / max(load, limit.booked / limit.capacity, 1e-9) - 1
                 limit.raise_kb = limit.booked * max(0.0, room)  # the own share of it, until the next report
 
-    def gain(self, kind: api.ServiceClass, rung: int) -> float:
-        (worth, kb), below = (self.settings.rung_worth, self.rates[kind.name]), rung > kind.floor
-        gain, more_kb = worth[rung] - below * worth[rung - 1], kb[rung] - below * kb[rung - 1]
-        return kind.worth * gain / max(more_kb, 1e-9)
-
-    def step_value(self, session: Session, rung: int) -> float:
-        """Worth of the step up to `rung` for each kB of it."""
-        return self.gains[session.kind.name][rung]
-
     def step_under(self, number: int, x: Session, planned: dict[int, int]) -> tuple[float, int, int, float]:
         """A session's next step down: its cost for each kB, whose it is, the rung, the kB that it frees."""
         rung = planned.get(number, x.rung)
         kb = max(x.rates[rung] - x.rates[rung - 1], 1e-9)
         change = 0 if number in planned else self.settings.switch_s * x.kind.worth / SWITCH_LIFE_S
-        return self.step_value(x, rung) + change / kb, number, rung - 1, kb
+        return x.gains[rung] + change / kb, number, rung - 1, kb
 
     def plan_steps(self, over: dict[Limit, float], planned: dict[int, int], most: float, odd: bool) -> bool:
         """Adds the cheapest steps down to `planned` until no limit is `over`; false where none costs under
@@ -208,9 +207,9 @@
         load, planned = (limit.load or 0.0) + limit.grown(), dict[int, int]()
         if load < above or limit.described_us < limit.stepped_us:
             return
-        self.plan_steps({limit: limit.booked * (1 - aim / load)}, planned, most, odd=True)
+        if self.plan_steps({limit: limit.booked * (1 - aim / load)}, planned, most, odd=True) or planned:
+            limit.stepped_us = self.now  # else none was cheap enough, and another may try
         self.set_rungs(planned)
-        limit.stepped_us = self.now
         if planned:
             self.log("stepping down", f"load {load:.2f}, {len(planned)} sessions")
 
@@ -225,13 +224,18 @@
     def raise_rungs(self) -> None:
         """Raise playing sessions, dearest step first, while their link and uplink stay under RAISE_MARK.
         Guards against swings: a step is taken with the chance that the own share of the room bears to it."""
-        able = [(-self.step_value(x, x.rung + 1), number, x.server) for number, x in self.sessions.items()
+        able = [(-x.gains[x.rung + 1], number, x.server) for number, x in self.sessions.items()
                 if x.playing and x.server and x.rung < x.ceiling and self.now - x.changed_us >= DWELL_US]
+        for limit in {x for _, _, y in able for x in y.limits()[::2]} if self.many else ():
+            mean, _, spread = self.average(limit.peers)
+            if mean and not self.fresh(limit) and self.now - limit.granted_us > PROBE_AGE_US:
+                limit.granted_us = self.now  # as all may: a share of the room that is likely there
+                limit.raise_kb = limit.booked * max(0.0, RAISE_MARK / (mean + spread) - 1)
         for _, number, server in sorted(able, key=lambda x: x[:2]):
             session, room = self.sessions[number], min(server.link.raise_kb, server.uplink.raise_kb)
             for rung in range(session.ceiling, session.rung, -1):
                 kb = session.rates[rung] - session.kb
-                if room > 0 and self.fits(server, kb, RAISE_MARK, 0):
+                if room > 0 and self.fits(server, kb, RAISE_MARK, 0, 1.0 if self.many else 0):
                     if self.random.random() * kb < room:
                         self.set_rungs({number: rung})
                     server.link.raise_kb -= kb
@@ -290,7 +294,7 @@
     def mark(self, session: Session, rung: int) -> float:
         """Exception to highest-first: steps that earn less for each kB are admitted up to a lower mark, to
         leave room for others; less so with few instances, which can step down what they let in."""
-        earned = self.step_value(session, rung) if rung > session.kind.floor else self.best[session.kind.name]
+        earned = session.gains[rung] if rung > session.kind.floor else self.best[session.kind.name]
         return MARK - RESERVE * (1 - 1 / self.settings.fleet_size) * max(0.0, 1 - earned / self.best_value)
 
     def give_way(self, newcomer: Session) -> None:
@@ -321,14 +325,16 @@
 
     def token_holder(self, session: Session, holders: list[Server]) -> Server | None:
         """The holder of the title's token: at first the one that a hash picks, alike at every instance.
-        Where many share the traffic it is the least-loaded heard that admits: others cost a question."""
+        Where many share the traffic it is the least-loaded that admits of those with a connection, else of
+        those heard: others cost a handshake or a question."""
         title = session.request.title
         number = self.tokens.pop(title, None)
         holder = next((s for s in holders if s.listing.server == number), None)
         if holder is None and holders:
-            heard = [s for s in holders if self.many and s.link.load is not None
+            known = [s for s in holders if self.many and (s.used or s.link.load is not None)
                      and self.admits(s, session, session.ceiling)]
-            holder = self.least_loaded(title, heard) or max(holders, key=lambda s: self.lot(title, s))
+            holder = self.least_loaded(title, [s for s in known if s.used] or known) or max(
+                holders, key=lambda s: self.lot(title, s))
         if holder:
             self.tokens[title] = holder.listing.server  # behind all others
         if len(self.tokens) > TOKENS_MOST:
@@ -361,8 +367,10 @@
                 return self.make_room(session, taker, rung)
         ranked = sorted((s for s in holders if self.usable(s, session)),
                         key=lambda s: (s is not holder, self.burden(s), s.listing.server))
-        if unheard := next((s for s in ranked if self.unsure(session, s, session.kind.floor)), None):
-            return unheard, -1
+        floor = session.kind.floor
+        if unheard := next((s for s in ranked if self.unsure(session, s, floor) and self.fits(
+                s, session.rates[floor], self.mark(session, floor), doubt=-self.doubts[floor])), None):
+            return unheard, -1  # what was heard of it leaves room
         for server in ranked:
             if self.fits(server, 0, math.inf):  # a place is left
                 if chosen := self.make_room(session, server, session.kind.floor - 1):
@@ -376,7 +384,7 @@
         early = 2 * (session.request.expires_us - self.now) > session.kind.deadline_us
         if not (self.settings.may_probe and early and session.probes < PROBES) or self.fresh(server.link):
             return False
-        return not self.fits(server, session.rates[rung], self.mark(session, rung), doubt=self.doubts[rung])
+        return not self.fits(server, session.rates[rung], EASED, doubt=self.doubts[rung])
 
     def probe(self, server: Server) -> list[Session]:
         """Those who wait for the answer; one probe at a time is out to a server."""
@@ -406,7 +414,7 @@
         while rung < top:  # a higher rung only by the own part: the room is else for peers to make
             kb, trial = session.rates[rung + 1], dict(planned)
             left = {limit: kb + excess for limit, excess in over.items()}
-            if not self.plan_steps(left, trial, self.step_value(session, rung + 1) / STEP_GAIN, False):
+            if not self.plan_steps(left, trial, session.gains[rung + 1] / STEP_GAIN, False):
                 break
             over = {limit: excess - kb for limit, excess in left.items()}
             planned, rung = trial, rung + 1
@@ -416,7 +424,7 @@
     def take(self, request: api.SessionRequested) -> None:
         kind = self.classes[request.class_name]
         top = max(kind.floor, min(request.ceiling, kind.top, len(self.settings.ladder_kb) - 1))
-        session = Session(request, kind, self.now, top, self.rates[kind.name])
+        session = Session(request, kind, self.now, top, self.rates[kind.name], self.gains[kind.name])
         self.sessions[request.session] = session
         if request.server is not None:
             session.playing, session.noted = True, True
@@ -443,6 +451,7 @@
         if session.attempts:
             self.further.add(self.now)
         session.attempts += 1
+        server.used = True
         session.tried.append(server)
         server.trial = server.failures > 0
         if self.warmth(server) < 1:
--- a/cloverhinge/decision/room.py
+++ b/cloverhinge/decision/room.py
@@ -25,7 +25,8 @@
         module.averages.clear()  # they were of the last event
     request = api.SessionRequested(-1, class_name, title, first_cell, copies, kind.floor,
                                    now_us + kind.deadline_us)
-    session = Session(request, kind, now_us, kind.floor, module.rates[class_name], rung=kind.floor)
+    session = Session(request, kind, now_us, kind.floor, module.rates[class_name], module.gains[class_name],
+                      rung=kind.floor)
     seats = kind.seats - held(module.sessions, session) if kind.seats else math.inf
     if seats <= 0:
         return 0
@@ -54,4 +55,4 @@
     kb = session.rates[floor]
     over = {link: (module.load_of(link) - MARK) * link.capacity * module.warmth(server) + kb,
             uplink: (module.load_of(uplink) - MARK) * uplink.capacity + kb}
-    return module.plan_steps(over, {}, module.step_value(session, floor) / STEP_GAIN, False)
+    return module.plan_steps(over, {}, session.gains[floor] / STEP_GAIN, False)
--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -28,8 +28,10 @@
     peers: list[Limit]  # the limits of its kind in the fleet
     load: float | None = None  # last told, asked over given
     described_us: int = 0  # the moment that `load` describes
+    inferred: bool = False  # `load` follows from sessions that fell short, not from a report
     stepped_us: int = 0  # the last step down or up made here
     booked: float = 0.0
+    granted_us: int = 0  # the last time that `raise_kb` came from a forecast
     raise_kb: float = 0.0  # what own sessions may still be raised by until the next report
     history: deque[tuple[int, float]] = field(default_factory=deque)  # (moment, booked from then on)
     sessions: dict[int, Session] = field(default_factory=dict)
@@ -70,6 +72,7 @@
     distrusted_until_us: int = 0
     erred: set[str] = field(default_factory=set)  # titles that erred here since it served one
     trial: bool = False  # an attempt of this instance is out on trial
+    used: bool = False  # a set-up was sent to it, so that a connection is paid for
 
     @property
     def ready(self) -> bool:
@@ -86,6 +89,7 @@
     arrived_us: int
     ceiling: int
     rates: list[float]  # kB a second of each rung, as its class uses it
+    gains: list[float]  # worth of the step up to each rung for each kB of it
     rung: int = 0
     kb: float = 0.0  # rate that is booked for it
     server: Server | None = None  # where it plays or is being set up
