The module: no table of attempts where they are not rationed, counts by bisection

Seen by the soak, which now plays with no budget of attempts as the platform does: `module: recent attempts` grew with each further attempt and was never pruned, as count() is asked only where attempts are rationed (place() in logic.py). Now nothing is added there; the test fails on the line as it was. The soak's profile also showed half of the module's time in Recent.count, which walked ten seconds of moments for each request, and in pstdev, which sums fractions: the moments are a list with bisection, the spread one call of math.dist.

--- /dev/null
+++ b/benchmarks/fleet_days.py
@@ -0,0 +1,69 @@
+"""The standing test's days side by side, from two of its runs in the journal.
+
+    python -m benchmarks.fleet_days BEFORE AFTER
+
+The ids are those of full runs of the bench, which play the same days from the same seeds.  What the
+journal does not hold (prices by kind, worth by five seconds) is in the report of a single day.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from benchmarks.tables import keep
+
+JOURNAL = Path(__file__).parent.parent / "journal"
+
+
+def days(name: str) -> dict[str, dict[str, Any]]:
+    found = list(JOURNAL.glob(f"*-{name}.json"))
+    if len(found) != 1:
+        raise SystemExit(f"fleet_days: the journal holds no run {name}")
+    return {day["name"]: day for day in json.loads(found[0].read_text())["days"]}
+
+
+def pair(before: Any, after: Any, digits: int = 3) -> str:
+    return f"{before:.{digits}f} -> {after:.{digits}f}"
+
+
+def main(before: str, after: str) -> None:
+    old, new = days(before), days(after)
+    scores: list[dict[str, object]] = []
+    causes: list[dict[str, object]] = []
+    for name, was in old.items():
+        now = new[name]
+        if was["seed"] != now["seed"]:
+            raise SystemExit(f"fleet_days: the runs played {name} from two seeds")
+        scores.append({
+            "day": name, "routers": now["nodes"], "boxes": now["servers"], "G": pair(was["G"], now["G"]),
+            "floor": f"{now['G_floor']:.3f}", "top": f"{now['G_top']:.3f}",
+            "served": pair(was["served"], now["served"]), "gate": f"{now['served_least']:.3f}",
+            "seen late": f"{now['served_late']:.3f}", "score": pair(was["score"], now["score"], 2),
+            "MB": now["memory_mb"], "troubles": ", ".join(now["troubles"])})
+        one, two = was["signature"], now["signature"]
+        causes.append({
+            "day": name, "refused": pair(one["refused_share"], two["refused_share"]),
+            "tries a request": pair(1 + one["retries_per_try"], 1 + two["retries_per_try"], 2),
+            "attempts a try": pair(one["attempts_per_try"], two["attempts_per_try"], 2),
+            "questions a try": pair(one["probes_per_try"], two["probes_per_try"], 2),
+            "boxes connected to": pair(one["connections_per_instance"], two["connections_per_instance"], 1),
+            "share of the session-time short": pair(one["servers_short"], two["servers_short"]),
+            "raises a minute": pair(one["steps_up_a_minute"], two["steps_up_a_minute"], 2),
+            "steps down a minute": pair(one["steps_down_a_minute"], two["steps_down_a_minute"], 2),
+            "served by class": "; ".join(f"{a[0]} {a[1]:.2f} -> {b[1]:.2f}"
+                                         for a, b in zip(was["by_class"], now["by_class"], strict=True))})
+    keep("fleet-days", "The whole fleet's days", [
+        ("The days as scored, before -> after, one play each from the same seeds.  `served` is the share of "
+         "the day's worth before prices, `gate` what the standing test wants, `seen late` what a policy "
+         "serves that sees the true state late.", scores),
+        ("What became of the requests, as the bench counts it from outside.", causes)],
+        f"python -m benchmarks.fleet_days {before} {after}")
+
+
+if __name__ == "__main__":
+    if len(sys.argv) != 3:
+        raise SystemExit(__doc__)
+    main(sys.argv[1], sys.argv[2])
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -124,8 +124,7 @@
 
 def main(requests: int) -> None:
     told = settings(BOXES, PLACES, racks=4, uplink_kb=BOXES * PLACES * 100.0 / 4, may_probe=True,
-                    cold_us=5_000_000, cold_from=0.5, fall_multiple=2.0, budget_free=10.0, budget_ratio=0.2,
-                    budget_span_us=10_000_000)
+                    cold_us=5_000_000, cold_from=0.5, fall_multiple=2.0)
     crowd = Crowd("all", "198.18.0.1", PER_S, titles=400, fresh_ms=600_000.0, checks=0.2)
     site = Site(told, [crowd], seed=1)
     points: list[dict[str, Any]] = []
--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -10,7 +10,7 @@
 import math
 import operator
 import random
-from statistics import NormalDist, pstdev
+from statistics import NormalDist
 
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.state import Fleet, Limit, Recent, Server, Session, held
@@ -136,8 +136,7 @@
         return max(limit.booked / limit.capacity, self.average(limit.peers)[0])
 
     def average(self, peers: list[Limit]) -> tuple[float, float, float]:
-        """Of limits of a kind: the mean load heard lately, what other instances add to each a second, and the
-        spread of the loads."""
+        """Of limits of a kind: the mean load heard lately, what others add to each a second, the spread."""
         if id(peers) not in self.averages:
             # Only what is short is inferred: it says nothing of the others.
             loads = [x.load for x in peers if x.load is not None and not x.inferred
@@ -145,8 +144,9 @@
             mean = sum(x.booked for x in peers) / max(len(self.sessions), 1)
             others = self.requests.count(self.now, PACE_SPAN_US) * (self.settings.fleet_size - 1)
             added = mean * others * 1e6 / PACE_SPAN_US / max(sum(x.capacity for x in peers), 1e-9)
-            spread = pstdev(loads) if len(loads) > 2 else SPREAD if loads else math.inf
-            self.averages[id(peers)] = sum(loads) / max(len(loads), 1), added, spread
+            level, n = sum(loads) / max(len(loads), 1), len(loads)
+            spread = math.dist(loads, [level] * n) / n**0.5 if n > 2 else SPREAD if loads else math.inf
+            self.averages[id(peers)] = level, added, spread
         return self.averages[id(peers)]
 
     def learn(self, server: Server, report: api.LoadReport, described_us: int, act: bool = False) -> None:
@@ -448,7 +448,7 @@
         if rung < 0:
             session.probes += 1
             return self.probe(server).append(session)
-        if session.attempts:
+        if session.attempts and told.budget_span_us:
             self.further.add(self.now)
         session.attempts += 1
         server.used = True
--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections import deque
 from dataclasses import dataclass, field
-from itertools import takewhile
 
 from cloverhinge.decision.interface import (
     FleetUpdate,
@@ -129,19 +129,19 @@
     """Counts moments within a span that slides."""
 
     def __init__(self, span_us: int) -> None:
-        self.span_us, self.moments = span_us, deque[int]()
+        self.span_us, self.moments, self.first = span_us, list[int](), 0  # those before `first` have passed
 
     def add(self, now_us: int) -> None:
         self.moments.append(now_us)
 
     def count(self, now_us: int, span_us: int | None = None) -> int:
         """Moments within the span, or within a shorter one."""
-        while self.moments and self.moments[0] <= now_us - self.span_us:
-            self.moments.popleft()
-        if span_us is None or span_us >= self.span_us:
-            return len(self.moments)
-        # From the latest back, as short spans are asked for at each request.
-        return sum(1 for _ in takewhile(lambda moment: moment > now_us - span_us, reversed(self.moments)))
+        self.first = bisect_right(self.moments, now_us - self.span_us, self.first)
+        if 2 * self.first > len(self.moments):
+            del self.moments[:self.first]
+            self.first = 0
+        span_us = self.span_us if span_us is None else min(span_us, self.span_us)
+        return len(self.moments) - bisect_right(self.moments, now_us - span_us, self.first)
 
     def pace(self, now_us: int, since_us: int, spans_us: tuple[int, ...]) -> float:
         """So many a second, over the span in which they were most; counted from `since_us` on."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -245,3 +245,14 @@
     for _ in range(10):
         refused = drive.ask("odd", class_name="gold")[1]
         assert of(api.Refuse, refused) and not of(api.SetRung, refused)
+
+
+def test_what_counts_further_attempts_holds_nothing_where_they_are_not_rationed() -> None:
+    """Guards the memory of a long day: what nobody asked for was never pruned."""
+    for span_us, kept in ((0, 0), (10_000_000, 3)):
+        drive = Drive(settings(budget_span_us=span_us, budget_free=1000.0))
+        for n in range(3):
+            session, actions = drive.ask(f"t{n}")
+            drive.end(session, sent(actions).server, api.Outcome.FULL)
+            drive.now += 3_000_000
+        assert len(drive.controller.further.moments) == kept
