--- a/benchmarks/fleet_days.py
+++ b/benchmarks/fleet_days.py
@@ -29,6 +29,12 @@
     return f"{before:.{digits}f} -> {after:.{digits}f}"
 
 
+def both(was: dict[str, Any], now: dict[str, Any], name: str, digits: int = 3) -> str:
+    """A figure of what the bench sees from outside, which tells some on some days only."""
+    one, two = was["signature"].get(name), now["signature"].get(name)
+    return pair(one, two, digits) if one is not None and two is not None else "-"
+
+
 def main(before: str, after: str) -> None:
     old, new = days(before), days(after)
     scores: list[dict[str, object]] = []
@@ -43,16 +49,15 @@
             "served": pair(was["served"], now["served"]), "gate": f"{now['served_least']:.3f}",
             "seen late": f"{now['served_late']:.3f}", "score": pair(was["score"], now["score"], 2),
             "MB": now["memory_mb"], "troubles": ", ".join(now["troubles"])})
-        one, two = was["signature"], now["signature"]
         causes.append({
-            "day": name, "refused": pair(one["refused_share"], two["refused_share"]),
-            "tries a request": pair(1 + one["retries_per_try"], 1 + two["retries_per_try"], 2),
-            "attempts a try": pair(one["attempts_per_try"], two["attempts_per_try"], 2),
-            "questions a try": pair(one["probes_per_try"], two["probes_per_try"], 2),
-            "boxes connected to": pair(one["connections_per_instance"], two["connections_per_instance"], 1),
-            "share of the session-time short": pair(one["servers_short"], two["servers_short"]),
-            "raises a minute": pair(one["steps_up_a_minute"], two["steps_up_a_minute"], 2),
-            "steps down a minute": pair(one["steps_down_a_minute"], two["steps_down_a_minute"], 2),
+            "day": name, "refused": both(was, now, "refused_share"),
+            "of them at once": both(was, now, "refused_early_share"),
+            "attempts a try": both(was, now, "attempts_per_try"),
+            "questions a try": both(was, now, "probes_per_try"),
+            "boxes connected to": both(was, now, "connections_per_instance", 1),
+            "boxes short": both(was, now, "servers_short"),
+            "raises a minute": both(was, now, "steps_up_a_minute"),
+            "steps down a minute": both(was, now, "steps_down_a_minute"),
             "served by class": "; ".join(f"{a[0]} {a[1]:.2f} -> {b[1]:.2f}"
                                          for a, b in zip(was["by_class"], now["by_class"], strict=True))})
     keep("fleet-days", "The whole fleet's days", [
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -130,6 +130,8 @@
     points: list[dict[str, Any]] = []
     while len(points) < POINTS:
         site.run(NOTES_MS)
+        crowd.tally.waits_ms.clear()  # of the model, one for each that was served
+        crowd.tally.served_ms.clear()
         if site.router.counters.taken * POINTS >= requests * (len(points) + 1):
             counted = site.router.counters
             points.append({"requests": counted.taken, "served": counted.served, "refused": counted.refused,
--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -99,14 +99,13 @@
             case api.UplinkNote(_, server, load) if server in servers:
                 self.learn(servers[server], api.LoadReport(uplink=load), past_us, act=True)
             case api.DeliveredShare(_, server, share) if server in servers and share >= DELIVERED:
-                for limit in servers[server].limits()[::2]:
-                    if limit.inferred:  # over, and how much room there is now is unknown
-                        limit.load, limit.inferred = None, False
+                for limit in (x for x in servers[server].limits()[::2] if x.inferred):
+                    limit.load, limit.inferred = None, False  # over, and how much room there is is unknown
             case api.DeliveredShare(_, server, share) if server in servers and share > 0:
                 # Guards against a short link or uplink of untold load: the share delivered implies the load.
                 short = max(servers[server].limits()[::2], key=lambda x: x.load or 0.0)
                 if past_us >= short.described_us and (short.inferred or (short.load or 0.0) < 1 / share):
-                    short.load, short.described_us, short.inferred = 1 / share, past_us, True
+                    short.load, short.described_us, short.inferred = 1 / share, past_us, self.many
                     self.step_down(short, 1.0 if self.many else SHORT)
             case api.RungInForce(number, _, rung):
                 if (session := self.sessions.get(number)) and session.server and session.rung != rung:
@@ -207,7 +206,8 @@
         load, planned = (limit.load or 0.0) + limit.grown(), dict[int, int]()
         if load < above or limit.described_us < limit.stepped_us:
             return
-        if self.plan_steps({limit: limit.booked * (1 - aim / load)}, planned, most, odd=True) or planned:
+        cheap = self.plan_steps({limit: limit.booked * (1 - aim / load)}, planned, most, odd=True)
+        if cheap or planned or not self.many:
             limit.stepped_us = self.now  # else none was cheap enough, and another may try
         self.set_rungs(planned)
         if planned:
@@ -368,9 +368,9 @@
         ranked = sorted((s for s in holders if self.usable(s, session)),
                         key=lambda s: (s is not holder, self.burden(s), s.listing.server))
         floor = session.kind.floor
-        if unheard := next((s for s in ranked if self.unsure(session, s, floor) and self.fits(
-                s, session.rates[floor], self.mark(session, floor), doubt=-self.doubts[floor])), None):
-            return unheard, -1  # what was heard of it leaves room
+        if asked := next((s for s in ranked if self.unsure(session, s, floor) and (not self.many or self.fits(
+                s, session.rates[floor], self.mark(session, floor), doubt=-self.doubts[floor]))), None):
+            return asked, -1  # what was heard of it leaves room
         for server in ranked:
             if self.fits(server, 0, math.inf):  # a place is left
                 if chosen := self.make_room(session, server, session.kind.floor - 1):
