The door: a table alone turns it on, with a key of the run's own

Seen: `[door]` by itself was refused for want of `door.key` (schema.py), where a newcomer expects it to work. Now a key is made at the start where none is given, and the log says once that tickets end with the run; one that is given has to hold 32 characters as before. Off in the platform's run as ever. Measured: two starts without a key let in, refuse and sign (tests/test_door_network.py), on the file as a newcomer writes it (tests/test_site.py); both fail on the code as it was.

--- a/cloverhinge/door/gate.py
+++ b/cloverhinge/door/gate.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import hashlib
+import secrets
 from typing import Any
 
+from twisted.logger import Logger
+
 from cloverhinge.core.clock import to_us
 from cloverhinge.core.deadlines import Deadlines, Key
 from cloverhinge.core.model import Ask, Request, State
@@ -19,15 +22,20 @@
 
 CLOSED_MS = 1000.0  # told by a program that ends: a restart takes about so long
 TICK_MS = 50.0  # pace of looking while anybody waits; fine beside the 600 ms kept for a set-up
+KEY_BYTES = 32  # of a key made at the start: as long as the digest that it signs with
 SERIAL_BITS = 20  # of a run's serials, which start at its start in ms: no later run begins below them
 
 
 class Gate:
+    log = Logger()
+
     def __init__(self, site: DoorSite, router: Router, deadlines: Deadlines, seed: int) -> None:
         self.router, self.clock, self.deadlines = router, router.clock, deadlines
         self.settings = router.settings
         self.clients = Clients(site.clients)
-        self.tickets = Tickets(site.key, site.quote_most_ms)
+        if not site.key:
+            self.log.info("door: no key is given, so tickets end with this run")
+        self.tickets = Tickets(site.key or secrets.token_bytes(KEY_BYTES), site.quote_most_ms)
         self.key = hashlib.blake2b(f"door {seed}".encode(), digest_size=32).digest()
         first, last = int(self.clock.now()) << SERIAL_BITS, len(site.clients) - 1
         clients = [fair.Client(one.name, one.weight, at == last, Promises(
--- a/cloverhinge/site/model.py
+++ b/cloverhinge/site/model.py
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DoorSite:
-    key: bytes  # signs tickets
+    key: bytes  # signs tickets; none: one that is made at each start
     waiting: int  # requests that may wait at a time
     promises: int  # promises remembered for each client
     quote_most_ms: float  # the longest quote
--- a/cloverhinge/site/schema.py
+++ b/cloverhinge/site/schema.py
@@ -67,7 +67,7 @@
 
 
 class DoorTable(Table):
-    key: str
+    key: str = ""
     waiting: Annotated[int, Meta(ge=1, le=4096)] = 512
     promises: Annotated[int, Meta(ge=64, le=65536)] = 2048
     quote_most_s: Annotated[float, Meta(ge=5, le=3600)] = 60.0
@@ -190,7 +190,7 @@
     others = parsed.pop(OTHERS, ClientSite(OTHERS))
     if others.networks or others.key:
         raise ValueError(f"clients.{OTHERS} are those whom nobody vouches for: it takes a weight alone")
-    return DoorSite(secret(own.key, "door.key", KEY_SHORTEST), own.waiting, own.promises,
+    return DoorSite(secret(own.key, "door.key", KEY_SHORTEST) if own.key else b"", own.waiting, own.promises,
                     own.quote_most_s * 1000.0, (*parsed.values(), others))
 
 
--- a/tests/test_door_network.py
+++ b/tests/test_door_network.py
@@ -21,12 +21,12 @@
 
 
 @contextmanager
-def door(folder: Path, boxes: list[Any]) -> Iterator[Program]:
+def door(folder: Path, boxes: list[Any], key: str = f'key = "{"d" * 32}"') -> Iterator[Program]:
     """One box with two places; the client maple vouches for its viewers."""
     told = ['[hls]', 'listen = "127.0.0.1:0"', f'key = "{"k" * 32}"', '[hls.boxes]',
             *(f'{box.name} = "{box.origin}"' for box in boxes if isinstance(box, MediaBox)),
             '[hls.titles.intro]', 'copies = 1', '[admin]', 'listen = "127.0.0.1:0"',
-            '[door]', f'key = "{"d" * 32}"', 'quote_most_s = 600', '[clients.maple]', f'key = "{KEY}"']
+            '[door]', key, 'quote_most_s = 600', '[clients.maple]', f'key = "{KEY}"']
     (folder / "site.toml").write_text("\n".join(told))
     with site(folder, pumps=boxes, deploy=folder / "site.toml", specifics=SMALL) as (program, _, _):
         yield program
@@ -46,6 +46,21 @@
     return told
 
 
+def test_a_door_without_a_key_signs_with_one_of_the_run_s_own(tmp_path: Path) -> None:
+    """Guards newcomers from a refused start for want of a key; the log says once what they do without."""
+    tickets: list[str] = []
+    for _ in range(2):
+        with door(tmp_path, [Pump("s-00000000", 0)], key="") as program:
+            assert sum("tickets end with this run" in line for line in program.log) == 1
+            viewer = program.connect()
+            for number in range(1, 4):  # the third finds both places taken
+                setup(viewer, number)
+                told = answer(viewer)
+                assert told.status == (200 if number < 3 else 503)
+            tickets.append(told.headers["x-ticket"])
+    assert len(set(tickets)) == 2
+
+
 def test_rtsp_viewers_wait_are_quoted_and_come_back(tmp_path: Path) -> None:
     with door(tmp_path, [Pump("s-00000000", 0)]) as program:
         admin = int(program.wait_for(r"admin on 127\.0\.0\.1:(\d+)")[1])
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -61,6 +61,13 @@
         ("maple", 2.0, 2), ("others", 0.5, 0)]
 
 
+def test_a_door_needs_nothing_but_its_table(tmp_path: Path) -> None:
+    path = tmp_path / "site.toml"
+    path.write_text("[door]\n")
+    door = site.read(path).door
+    assert door is not None and door.key == b"" and door.waiting == 512
+
+
 def test_the_platform_s_run_loads_none_of_it() -> None:
     """Guards the platform's memory: what is switched off there is not imported."""
     code = ("import sys; import cloverhinge.cli, cloverhinge.node\n"
