The small site in virtual time: one sum of what a box's sessions ask of its link

Seen on reading the change again: soak.py's answer to a question added up the rates that world.py adds up for its notes. World.link is the one sum now; nothing else changes.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -88,8 +88,7 @@
         if sessions is None:
             self.router.probed(server, Outcome.CONNECT_FAILED, PROBE_MS, None)
             return
-        kb = sum(self.told.ladder_kb[x.rung or 0] for x in sessions.values())
-        report = api.LoadReport(len(sessions), kb / self.told.weight_kb, None)
+        report = api.LoadReport(len(sessions), self.link(sessions), None)
         self.router.probed(server, Outcome.SERVED, PROBE_MS, report)
 
 
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -176,12 +176,15 @@
             length = crowd.length_ms * self.random.lognormvariate(-crowd.spread ** 2 / 2, crowd.spread)
             Viewer(self, crowd, kind, f"{crowd.name}-{crowd.tally.came}", now, length).ask()
 
+    def link(self, sessions: dict[int, Request]) -> float:
+        """What these ask of a box's link over what it gives."""
+        return sum(self.told.ladder_kb[x.rung or 0] for x in sessions.values()) / self.told.weight_kb
+
     def _tell_loads(self) -> None:
         for server, sessions in self.load.items():
-            kb = sum(self.told.ladder_kb[x.rung or 0] for x in sessions.values())
             first = next(iter(sessions.values()), None)
             if first is not None:
-                self.router.note(first, api.LinkNote(first.handle, server, kb / self.told.weight_kb))
+                self.router.note(first, api.LinkNote(first.handle, server, self.link(sessions)))
         self.deadlines.after(NOTES_MS, self._tell_loads)
 
     # Boxes
