Membership among routers: a pure core that watches, reaches and judges, and its sockets

Need: a router that dies is noticed by nobody but its viewers, and what comes next (work taken over, the loss of a site) has to rest on one view of who is there.

Change: members/ is a machine of events and a time (core, table, watch, wire) with a thin module for UDP and TCP (link). Each member watches six others on hashed rings; a member is out when none of its observers that can be reached hears it both ways, or when most of them find that its address refuses connections. Records merge in any order, a view is numbered by the changes that led to it. emulator/ runs the real core on a modelled network in virtual time. Off unless the site file has [members]; `cloverhinge members` and the admin's status show it. Node holds such parts by one small shape.

--- a/cloverhinge/cli.py
+++ b/cloverhinge/cli.py
@@ -4,6 +4,7 @@
   cloverhinge serve [--site FILE]
   cloverhinge check [CONFIG] [--site FILE]
   cloverhinge console [--once] [--site FILE]
+  cloverhinge members [--site FILE]
   cloverhinge version
   cloverhinge (-h | --help)
 
@@ -12,6 +13,7 @@
   check    Read a configuration (that of LB_CONFIG, unless named) and say what is wrong with it.
   console  Show a running router's sessions, boxes, counters and certificate, at the admin socket
            that the site file names.
+  members  Show which routers are members, as a running router sees them.
   version  Print the version.
 
 Options:
@@ -43,10 +45,12 @@
     if chosen["serve"]:  # a SIGHUP that comes before the router stands waits until it does
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        if chosen["console"]:
+        if chosen["console"] or chosen["members"]:
             admin = site.read(Path(chosen["--site"])).admin
             if admin is None:
                 raise ConfigError(f"{chosen['--site']} names no admin socket")
+            if chosen["members"]:
+                return console.show_members(admin)
             return console.show(admin, chosen["--once"])
         told = config.read(chosen["CONFIG"]) if chosen["CONFIG"] else config.from_environment()
         path = Path(chosen["--site"])
@@ -60,9 +64,14 @@
               f"listening on {told.listen[0]}:{told.listen[1]}")
         print("HLS front: off" if around.hls is None else
               f"HLS front: on {around.hls.listen[0]}:{around.hls.listen[1]}, {len(around.hls.titles)} titles")
+        print("members: off" if around.members is None else
+              f"members: site {around.members.site}, {len(around.members.join)} addresses to join")
         print("door: off" if around.door is None else
               f"door: {len(around.door.clients) - 1} clients named, {around.door.waiting} may wait")
         return 0
+    if around.members is not None and not told.name:
+        print("cloverhinge: members: the configuration gives this router no name", file=sys.stderr)
+        return 2
     from cloverhinge.node import serve  # starts Twisted's reactor, which the other commands don't need
 
     return serve(told, around)
--- a/cloverhinge/console.py
+++ b/cloverhinge/console.py
@@ -84,6 +84,33 @@
     return lines
 
 
+def render_members(told: dict[str, Any]) -> list[str]:
+    """Who is a member, and who of those that watch it hear it."""
+    if "members" not in told:
+        raise ConsoleError("this router has no members: its site file has no table [members]")
+    of = told["members"]
+    lines = [f"{told['name']}: view {of['view']}:{of['digest']}, {of['in']} of {of['whole']} in"
+             + ("" if of["majority"] else ", no majority") + ("" if of["joined"] else ", not joined")
+             + ("" if of["trusted"] else ", just awake"), "",
+             "MEMBER            SITE              STATE    INCARNATION     SINCE  HEARD BY  ADDRESS"]
+    for one in of["list"]:
+        heard, unheard = one["reach"]["heard_by"], one["reach"]["not_heard_by"]
+        state = plain(one["state"], 7)
+        lines.append(f"{plain(one['name'], 16)}  {plain(one['site'], 16)}  {state}  {one['incarnation']:11}  "
+                     f"{one['since_ms'] / 1000:6.0f} s  {len(heard):3} of {len(heard) + len(unheard):<2} "
+                     f"{plain(one['address'], 21).rstrip()}")
+        if unheard:
+            lines.append(f"    not heard by {', '.join(plain(x, 64).rstrip() for x in unheard)}")
+        if one["by"] and one["state"] != "alive":
+            lines.append(f"    {plain(one['by'], 256).rstrip()}")
+    return lines
+
+
+def show_members(where: tuple[str, int], out: TextIO = sys.stdout) -> int:
+    out.write("\n".join(render_members(fetch(where))) + "\n")
+    return 0
+
+
 def show(where: tuple[str, int], once: bool, out: TextIO = sys.stdout) -> int:
     if once or not out.isatty():
         out.write("\n".join(render(fetch(where))) + "\n")
--- /dev/null
+++ b/cloverhinge/emulator/routers.py
@@ -0,0 +1,147 @@
+"""Routers' membership on the modelled network, with the checks that hold for every schedule."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cloverhinge.emulator.network import Address, Network, Process
+from cloverhinge.members import core, wire
+
+SILENT_MS = 1000.0  # a connection that nobody answers is given up after so long
+
+
+@dataclass
+class Seen:
+    """One change that one member told of."""
+
+    at_ms: float
+    by: str
+    what: core.Changed
+
+
+class Router:
+    """One process with its membership; `start` begins a new run under the same name."""
+
+    def __init__(self, world: World, name: str, site: str, address: Address,
+                 join: tuple[Address, ...]) -> None:
+        self.world, self.name, self.site, self.address, self.join = world, name, site, address, join
+        self.process = Process(address)
+        self.members: core.Members
+        self.away: list[float] = []
+        self.voided: list[core.Voided] = []
+        self.said: list[str] = []
+
+    @property
+    def running(self) -> bool:
+        return self.process.alive and not self.process.paused
+
+    def start(self) -> None:
+        net = self.world.net
+        self.process = net.processes[self.address] = Process(self.address)
+        run = net.random.getrandbits(62)
+        self.members = core.Members(self.name, self.site, self.address, self.join, run, run, self.world.rules)
+        self.act(self.members.start(net.now))
+        net.timer(self.process, net.random.uniform(0.0, core.TICK_MS), self._tick)
+
+    def _tick(self) -> None:
+        self.act(self.members.due(self.world.net.now))
+        self.world.net.timer(self.process, core.TICK_MS, self._tick)
+
+    def kill(self) -> None:
+        self.process.alive = False
+
+    def act(self, actions: list[core.Action], back: Address | None = None, through: bool = False) -> None:
+        net = self.world.net
+        for action in actions:
+            match action:
+                case core.Send():
+                    to = action.to or back
+                    assert to is not None
+                    body = wire.encode(action.message)
+                    self.carry(to, body, through or wire.HEAD + len(body) > wire.DATAGRAM_MOST)
+                case core.Knock():
+                    self.knock(action)
+                case core.Away():
+                    self.away.append(action.ms)
+                case core.Changed():
+                    self.world.seen.append(Seen(net.now, self.name, action))
+                case core.Voided():
+                    self.voided.append(action)
+                case core.Say():
+                    self.said.append(action.text)
+
+    def carry(self, to: Address, body: bytes, reliable: bool = False) -> None:
+        self.world.net.send(self.address, to, wire.HEAD + len(body),
+                            lambda: self.world.hear(to, body, self.address, reliable), reliable)
+
+    def knock(self, knock: core.Knock) -> None:
+        """A connection: refused where no process is, else asked; its end is told in any case."""
+        net, sent, process = self.world.net, self.world.net.now, self.process
+
+        def over(refused: bool) -> None:
+            process.do(lambda: self.act(self.members.knocked(net.now, knock.name, knock.run, sent, refused)))
+
+        cut = net.way(self.address, knock.to).cut or net.way(knock.to, self.address).cut
+        there = net.processes.get(knock.to)
+        if not cut and (there is None or not there.alive):
+            net.at(net.usual.delay_ms * 2, lambda: over(True))
+            return
+        if not cut:
+            self.carry(knock.to, wire.encode(knock.message), reliable=True)
+        net.at(SILENT_MS, lambda: over(False))
+
+
+@dataclass
+class World:
+    """`count` routers, each at an address of its own, in `sites` sites by turns."""
+
+    count: int
+    seed: int
+    sites: int = 1
+    rules: core.Rules = field(default_factory=core.Rules)
+    net: Network = field(init=False)
+    seen: list[Seen] = field(default_factory=list)
+    routers: list[Router] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.net = Network(self.seed)
+        addresses = [(f"127.1.{n // 250}.{n % 250 + 1}", 7000) for n in range(self.count)]
+        join = tuple(addresses[:3])
+        self.routers = [Router(self, f"r{n:03d}", f"s{n % self.sites}", address, join)
+                        for n, address in enumerate(addresses)]
+
+    def hear(self, to: Address, body: bytes, sender: Address, reliable: bool) -> None:
+        router = self.by_address[to]
+        router.act(router.members.received(self.net.now, wire.decode(body), sender), sender, reliable)
+
+    @property
+    def by_address(self) -> dict[Address, Router]:
+        if not hasattr(self, "_by_address"):
+            self._by_address = {router.address: router for router in self.routers}
+        return self._by_address
+
+    def start(self, settle_ms: float = 5000.0) -> None:
+        for router in self.routers:
+            router.start()
+        self.net.run(settle_ms)
+
+    def agreed(self, routers: list[Router] | None = None) -> bool:
+        """Whether all of these hold one view, and that view is these and no others."""
+        routers = [x for x in self.routers if x.running] if routers is None else routers
+        names = tuple(sorted(x.name for x in routers))
+        views = [x.members.view() for x in routers]
+        return all(view.names == names and view == views[0] for view in views)
+
+    def until_agreed(self, most_ms: float, routers: list[Router] | None = None,
+                     step_ms: float = 50.0) -> float:
+        """How long until all hold one view; raises where it takes longer than `most_ms`."""
+        begun = self.net.now
+        while not self.agreed(routers):
+            if self.net.now - begun > most_ms:
+                raise AssertionError("\n".join(
+                    f"{x.name}: {x.members.view()}" for x in routers or self.routers if x.running))
+            self.net.run(step_ms)
+        return self.net.now - begun
+
+    def told(self, what: str, since_ms: float = 0.0) -> list[Seen]:
+        return [x for x in self.seen if x.what.what == what and x.at_ms >= since_ms]
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -7,12 +7,13 @@
 import signal
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet import reactor as _reactor
 from twisted.internet.error import CannotListenError
 from twisted.logger import Logger, globalLogBeginner, textFileLogObserver
 
+from cloverhinge import __version__
 from cloverhinge.admin import Admin, snapshot
 from cloverhinge.config import Config, from_environment
 from cloverhinge.core.clock import Clock
@@ -28,10 +29,24 @@
 ACCEPT_AFTER_TERM_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
 FLUSH_MS = 150.0  # for what has been written at the end to leave
 BACKLOG = 256
+PUBLISH_MS = 1000.0  # pace at which the facts for other routers are looked at
 
 reactor: Any = _reactor
 
 
+class Part(Protocol):
+    """A part that the site file turns on; later ones build on earlier ones."""
+
+    key: str  # under which the admin's answer shows its status
+
+    def start(self) -> None: ...
+
+    def told_to_end(self) -> None:
+        """SIGTERM has come; the listener is still open."""
+
+    def status(self) -> dict[str, Any]: ...
+
+
 class Node:
     log = Logger()
 
@@ -57,6 +72,12 @@
 
             self.gate = Gate(site.door, self.router, self.deadlines, config.seed)
             self.front.identify = self.gate.clients.identify
+        self.parts: list[Part] = []
+        if site.members is not None:
+            from cloverhinge.members.link import Link  # loaded only where there are other routers
+
+            self.members = Link(reactor, site.members, config.name, self.clock, self.deadlines, config.seed)
+            self.parts.append(self.members)
         self.started_ms = self.clock.now()
 
     def start(self) -> None:
@@ -75,6 +96,23 @@
                           port=admin.getHost().port)
         if self.site.hls is not None:
             self._start_hls(self.site.hls, self.site.acme)
+        for part in self.parts:
+            part.start()
+        if self.site.members is not None:
+            self._publish()
+
+    def _publish(self) -> None:
+        """What the other routers are told of this one; the members set the pace at which it leaves."""
+        if self.stopping:
+            return
+        router, host = self.router, self.config.listen[0]
+        places = sum(router.settings.places_by_kind.get(x.kind, 0) for x in router.listings.values())
+        web = [x.getHost() for x in self.web_ports]
+        self.members.publish({
+            "version": __version__, "rtsp": f"{host}:{self.port.getHost().port}",
+            "hls": [f"{x.host}:{x.port}" for x in web], "capacity": places, "open": router.open,
+            "load": sum(len(x) for x in router.standing.values())})
+        self.deadlines.after(PUBLISH_MS, self._publish)
 
     def _start_hls(self, site: HlsSite, acme: AcmeSite | None) -> None:
         from cloverhinge.hls import front, plays  # loaded only where the front is wanted
@@ -120,7 +158,8 @@
                            "error": self.keeper.error}
         return snapshot(self.config.name, self.router, self.pumps, self.boxes, self.started_ms, certificate,
                         len(self.plays.table) if self.plays is not None else 0,
-                        self.gate.status() if self.gate is not None else [])
+                        self.gate.status() if self.gate is not None else []
+                        ) | {part.key: part.status() for part in self.parts}
 
     def change(self, change: Change, kind: api.ListKind | None = None) -> None:
         """A list, or a change of one: the router first, as it says what may still be written to."""
@@ -161,6 +200,8 @@
         self.front.ready = False
         self.log.info("{name}: told to end, {open} requests open", name=self.config.name,
                       open=self.router.open)
+        for part in self.parts:
+            part.told_to_end()
         self.deadlines.after(ACCEPT_AFTER_TERM_MS, self._finish)
 
     def _finish(self) -> None:
--- a/cloverhinge/site/model.py
+++ b/cloverhinge/site/model.py
@@ -60,9 +60,25 @@
     clients: tuple[ClientSite, ...]  # the last one is `others`
 
 
+@dataclass(frozen=True, slots=True)
+class MembersSite:
+    """Membership among the routers; times in ms."""
+
+    listen: tuple[str, int]
+    advertise: tuple[str, int] | None  # what the others are told; none: where it listens
+    join: tuple[tuple[str, int], ...]
+    site: str
+    keys: tuple[bytes, ...]  # the first one signs
+    probe_ms: float
+    quiet_ms: float
+    out_ms: float
+    watch: int
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     hls: HlsSite | None = None
     acme: AcmeSite | None = None
     admin: tuple[str, int] | None = None
     door: DoorSite | None = None
+    members: MembersSite | None = None
--- a/cloverhinge/site/schema.py
+++ b/cloverhinge/site/schema.py
@@ -15,14 +15,15 @@
 from msgspec import Meta
 
 from cloverhinge.core.told import ConfigError, address
-from cloverhinge.site.model import AcmeSite, ClientSite, DoorSite, HlsSite, Site, Title
+from cloverhinge.site.model import AcmeSite, ClientSite, DoorSite, HlsSite, MembersSite, Site, Title
 
 KEY_SHORTEST = 32  # characters, of keys that sign for the router
 CLIENT_KEY_SHORTEST = 16  # of keys under which a client's page vouches
+JOIN_MOST = 64  # addresses to join: each is asked twice a second while none answers
 CLIENTS_MOST = 64  # each may have a bucket and a table of its own in memory
 OTHERS = "others"  # the client of all whom nobody vouches for
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
-TABLES = ("hls", "acme", "admin", "door", "clients")
+TABLES = ("hls", "acme", "admin", "door", "clients", "members")
 
 Positive = Annotated[float, Meta(gt=0)]
 Whole = Annotated[int, Meta(ge=0)]
@@ -79,6 +80,19 @@
     key: str = ""
 
 
+class MembersTable(Table):
+    listen: str
+    key: str
+    advertise: str = ""
+    join: tuple[str, ...] = ()
+    site: str = "main"
+    old_key: str = ""
+    probe_ms: Annotated[float, Meta(ge=50, le=10_000)] = 400.0
+    quiet_ms: Annotated[float, Meta(ge=100, le=60_000)] = 1200.0
+    out_ms: Annotated[float, Meta(ge=100, le=600_000)] = 2800.0
+    watch: Annotated[int, Meta(ge=3, le=16)] = 6
+
+
 def read(path: Path) -> Site:
     try:
         told = tomllib.loads(path.read_text(encoding="utf-8"))
@@ -107,7 +121,8 @@
     if "clients" in told and "door" not in told:
         raise ValueError("clients: clients queue at the door, which has no table here")
     door = parse_door(told["door"], told.get("clients", {})) if "door" in told else None
-    return Site(hls, parse_acme(told["acme"]) if "acme" in told else None, admin, door)
+    members = parse_members(told["members"]) if "members" in told else None
+    return Site(hls, parse_acme(told["acme"]) if "acme" in told else None, admin, door, members)
 
 
 def table(told: Any, kind: type[S], path: str) -> S:
@@ -206,3 +221,21 @@
             raise ValueError(f"{path}.networks: {error}") from None
     key = secret(own.key, f"{path}.key", CLIENT_KEY_SHORTEST) if own.key else b""
     return ClientSite(name, own.weight, tuple(networks), key)
+
+
+def parse_members(told: Any) -> MembersSite:
+    own = table(told, MembersTable, "members")
+    named(own.site, "members.site", "site")
+    if len(own.join) > JOIN_MOST:
+        raise ValueError(f"members.join: {len(own.join)} addresses are named, {JOIN_MOST} at most")
+    if own.quiet_ms < 2.0 * own.probe_ms:
+        raise ValueError("members.quiet_ms has to be twice members.probe_ms or more: an answer may be lost")
+    keys = [secret(own.key, "members.key", KEY_SHORTEST)]
+    if own.old_key:
+        keys.append(secret(own.old_key, "members.old_key", KEY_SHORTEST))
+    return MembersSite(
+        listen=where(own.listen, "members.listen"),
+        advertise=where(own.advertise, "members.advertise") if own.advertise else None,
+        join=tuple(where(text, f"members.join[{at}]", 1) for at, text in enumerate(own.join)),
+        site=own.site, keys=tuple(keys), probe_ms=own.probe_ms, quiet_ms=own.quiet_ms, out_ms=own.out_ms,
+        watch=own.watch)
