The lab: real processes behind a hub that treats each direction of each pair by itself

The stand-ins of the network tests moved from tests/stand.py to lab/stand.py, unchanged. A dead member that is then told to have left is a change of the view, and says so.

--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -150,7 +150,7 @@
 
 def paces(folder: Path, door: bool, seconds: float = 4.0, lines: int = 8) -> tuple[float, float]:
     """Set-ups a second, and a second of the router's processor time; viewers ask, hear, end and ask again."""
-    from tests.stand import SETTINGS, ChangeLog, Pump, Wire, answer
+    from cloverhinge.lab.stand import SETTINGS, ChangeLog, Pump, Wire, answer
 
     class Quick(Pump):
         def serve(self, wire: Wire) -> None:
--- /dev/null
+++ b/cloverhinge/lab/hub.py
@@ -0,0 +1,320 @@
+"""Between real processes: passes datagrams and connections on, and treats each direction of a pair by itself.
+
+Each router has a port of the hub's, which it tells the others as its own.  The hub knows a sender by its
+loopback address and passes on from the sender's own port here, so both ends see the hub's addresses alone.
+Where a process has ended its port refuses connections, as the kernel would.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+import threading
+from collections.abc import Awaitable, Callable, Coroutine
+from concurrent.futures import Future
+from dataclasses import dataclass, replace
+from typing import Any, TypeVar
+
+from cloverhinge.lab.record import Record
+
+Address = tuple[str, int]
+T = TypeVar("T")
+
+HELD_MOST = 10_000  # datagrams of a direction that is held back; more are lost
+CHUNK = 65536
+RESEND_MS = 200.0  # what a lost segment costs a connection at least (RFC 6298)
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: closing sends a reset
+
+
+@dataclass(frozen=True, slots=True)
+class Way:
+    """One direction of a pair.  Shares are of datagrams (of a connection's chunks: sent again later)."""
+
+    cut: bool = False
+    loss: float = 0.0
+    twice: float = 0.0
+    late: float = 0.0  # share that comes up to `late_ms` later, so behind others
+    late_ms: float = 300.0
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0
+    rate_kb: float = 0.0  # a second; 0: as fast as it goes
+    held: bool = False  # kept back until `let_go`
+
+
+USUAL = Way()
+
+
+class Port(asyncio.DatagramProtocol):
+    """One router's place at the hub."""
+
+    def __init__(self, hub: Hub, name: str, host: str) -> None:
+        self.hub, self.name, self.host, self.port = hub, name, host, 0
+        self.real: Address | None = None
+        self.transport: asyncio.DatagramTransport
+        self.server: asyncio.Server | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        sender = self.hub.by_host.get(addr[0])
+        if sender is not None:
+            self.hub.datagram(sender, self, data)
+
+
+class Hub:
+    """Runs in a thread of its own; the calls without an underscore may come from any thread."""
+
+    def __init__(self, record: Record, seed: int = 1) -> None:
+        self.record, self.random = record, random.Random(seed)
+        self.ports: dict[str, Port] = {}
+        self.by_host: dict[str, Port] = {}  # routers by the address that they really have
+        self.ways: dict[tuple[str, str], Way] = {}
+        self.usual = USUAL
+        self.counts = {"passed": 0, "lost": 0, "bytes": 0}
+        self._busy_until: dict[tuple[str, str], float] = {}
+        self._held: dict[tuple[str, str], list[Callable[[], None]]] = {}
+        self._links: dict[tuple[str, str], set[asyncio.StreamWriter]] = {}
+        self._servers: list[asyncio.Server] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._changed = asyncio.Event()
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def _call(self, coroutine: Coroutine[Any, Any, T]) -> T:
+        waiting: Future[T] = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        return waiting.result(10.0)
+
+    def stop(self) -> None:
+        async def ending() -> None:
+            for port in self.ports.values():
+                port.transport.close()
+                if port.server is not None:
+                    port.server.close()
+            for server in self._servers:
+                server.close()
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+        self._call(ending())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(10.0)
+        self.loop.close()
+
+    # Places
+
+    def place(self, name: str, host: str, real_host: str) -> Address:
+        """A port at `host` for the router that will be at `real_host`; it refuses until `attach`."""
+        async def making() -> Address:
+            port = Port(self, name, host)
+            await self.loop.create_datagram_endpoint(lambda: port, local_addr=(host, 0))
+            port.port = port.transport.get_extra_info("sockname")[1]
+            self.ports[name] = self.by_host[real_host] = port
+            return host, port.port
+
+        return self._call(making())
+
+    def attach(self, name: str, real: Address) -> None:
+        async def attaching() -> None:
+            port = self.ports[name]
+            port.real = real
+            if port.server is None:
+                port.server = await asyncio.start_server(
+                    lambda r, w: self._taken(port, r, w), port.host, port.port, reuse_address=True)
+
+        self._call(attaching())
+
+    def detach(self, name: str) -> None:
+        """Its process has ended: connections to it are refused from now on."""
+        async def detaching() -> None:
+            port = self.ports[name]
+            port.real = None
+            if port.server is not None:
+                port.server.close()
+                port.server = None
+            for (one, other), links in self._links.items():
+                if name in (one, other):
+                    for link in links:
+                        self._reset(link)
+
+        self._call(detaching())
+
+    def gate(self, router: str, box: str, host: str, real: Address) -> Address:
+        """A listener that `router` alone is told for `box`, so that its ways there are its own."""
+        async def making() -> Address:
+            async def taken(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await self._between(router, box, reader, writer, real, None)
+
+            server = await asyncio.start_server(lambda r, w: self._run(taken(r, w)), host, 0)
+            self._servers.append(server)
+            found: Address = server.sockets[0].getsockname()
+            return found
+
+        return self._call(making())
+
+    # Faults
+
+    def way(self, sender: str, to: str) -> Way:
+        return self.ways.get((sender, to), self.usual)
+
+    def change(self, sender: str, to: str, **changed: Any) -> None:
+        self.record.add("hub", "fault", sender=sender, to=to, **changed)
+        self.loop.call_soon_threadsafe(self._change, sender, to, changed)
+
+    def _change(self, sender: str, to: str, changed: dict[str, Any]) -> None:
+        self.ways[sender, to] = replace(self.way(sender, to), **changed)
+        self._tell()
+
+    def every(self, **changed: Any) -> None:
+        """For all ways that have no setting of their own."""
+        self.record.add("hub", "fault", sender="all", to="all", **changed)
+        self.loop.call_soon_threadsafe(self._every, changed)
+
+    def _every(self, changed: dict[str, Any]) -> None:
+        self.usual = replace(self.usual, **changed)
+        self._tell()
+
+    def cut(self, some: list[str], others: list[str], both: bool = True) -> None:
+        for one in some:
+            for other in others:
+                self.change(one, other, cut=True)
+                if both:
+                    self.change(other, one, cut=True)
+
+    def heal(self) -> None:
+        self.record.add("hub", "healed")
+        self.loop.call_soon_threadsafe(self._heal)
+
+    def _heal(self) -> None:
+        self.ways.clear()
+        self.usual = USUAL
+        self._tell()
+
+    def reset(self, one: str, other: str) -> None:
+        """Resets the connections that stand between two."""
+        self.record.add("hub", "fault", sender=one, to=other, reset=True)
+
+        def resetting() -> None:
+            for pair in ((one, other), (other, one)):
+                for link in self._links.get(pair, ()):
+                    self._reset(link)
+
+        self.loop.call_soon_threadsafe(resetting)
+
+    def hold(self, sender: str, to: str) -> None:
+        self.change(sender, to, held=True)
+
+    def let_go(self, sender: str, to: str) -> None:
+        self.change(sender, to, held=False)
+
+    def _tell(self) -> None:
+        """Wakes whoever waits for a way to open, and sends on what was held and is no more."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        for pair in list(self._held):
+            if not self.way(*pair).held:
+                for send in self._held.pop(pair):
+                    send()
+
+    # Datagrams
+
+    def datagram(self, sender: Port, to: Port, data: bytes) -> None:
+        way, pair = self.way(sender.name, to.name), (sender.name, to.name)
+        if way.cut or self.random.random() < way.loss:
+            self.counts["lost"] += 1
+            return
+
+        def send() -> None:
+            if to.real is not None and not sender.transport.is_closing():
+                self.counts["passed"] += 1
+                self.counts["bytes"] += len(data)
+                sender.transport.sendto(data, to.real)
+
+        if way.held:
+            held = self._held.setdefault(pair, [])
+            if len(held) < HELD_MOST:
+                held.append(send)
+            return
+        for _ in range(2 if self.random.random() < way.twice else 1):
+            delay = self._delay(pair, way, len(data))
+            if self.random.random() < way.late:
+                delay += self.random.random() * way.late_ms
+            if delay > 0.0:
+                self.loop.call_later(delay / 1000.0, send)
+            else:
+                send()
+
+    def _delay(self, pair: tuple[str, str], way: Way, size: int) -> float:
+        delay = way.delay_ms + self.random.random() * way.jitter_ms
+        if way.rate_kb > 0.0:
+            now = self.loop.time() * 1000.0
+            free = max(now, self._busy_until.get(pair, 0.0)) + size / way.rate_kb
+            self._busy_until[pair] = free
+            delay += free - now
+        return delay
+
+    # Connections
+
+    def _run(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _taken(self, to: Port, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        sender = self.by_host.get(writer.get_extra_info("peername")[0])
+        if sender is None or to.real is None:
+            self._reset(writer)
+            return
+        self._run(self._between(sender.name, to.name, reader, writer, to.real, (sender.host, 0)))
+
+    async def _between(self, one: str, other: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                       real: Address, bound: Address | None) -> None:
+        await self._open(one, other)
+        try:
+            there, back = await asyncio.open_connection(*real, local_addr=bound)
+        except OSError:
+            self._reset(writer)
+            return
+        links = self._links.setdefault((one, other), set())
+        links |= {writer, back}
+        try:
+            await asyncio.gather(self._pass(one, other, reader, back), self._pass(other, one, there, writer))
+        finally:
+            links -= {writer, back}
+            writer.close()
+            back.close()
+
+    async def _pass(self, sender: str, to: str, reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK):
+                way = await self._open(sender, to)
+                delay = self._delay((sender, to), way, len(data))
+                while self.random.random() < way.loss and delay < 10_000.0:
+                    delay += RESEND_MS
+                if delay > 0.0:
+                    await asyncio.sleep(delay / 1000.0)
+                    await self._open(sender, to)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+
+    async def _open(self, sender: str, to: str) -> Way:
+        """Waits while nothing passes there."""
+        while (way := self.way(sender, to)).cut or way.held:
+            await self._changed.wait()
+        return way
+
+    @staticmethod
+    def _reset(writer: asyncio.StreamWriter) -> None:
+        sock: socket.socket | None = writer.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        writer.transport.abort()
--- a/tests/stand.py
+++ b/cloverhinge/lab/stand.py
@@ -1,4 +1,4 @@
-"""The one helper of the network tests: the program as a process, and stand-ins for all that it talks to.
+"""The program as a process, and stand-ins for all that it talks to: for the tests, and for the lab's rig.
 
 Nothing here sleeps: whoever waits, waits for a message, a line of the log or the end of the process.
 """
@@ -20,7 +20,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parent.parent.parent
 WAIT_S = 10.0  # for what has to come; only a failing test waits so long
 
 SETTINGS: dict[str, Any] = {
--- a/cloverhinge/members/core.py
+++ b/cloverhinge/members/core.py
@@ -549,7 +549,7 @@
                 known.accused, known.accused_ms = record, -1e12
                 self._accused.add(record.name)
             return
-        self._adopt(now, record, record.state.name.lower() if alive else "", record.by)
+        self._adopt(now, record, record.state.name.lower(), record.by)
 
     def _adopt(self, now: float, record: Record, what: str, reason: str) -> None:
         held = self.table.records.get(record.name)
--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -21,9 +21,9 @@
 from cloverhinge.acme.keeper import Keeper
 from cloverhinge.core.clock import ManualClock
 from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.lab.stand import ROOT, WAIT_S, site
 from cloverhinge.site import AcmeSite
 from tests.authority import Authority
-from tests.stand import ROOT, WAIT_S, site
 
 DOMAIN = "training.example"
 
--- a/tests/test_door_network.py
+++ b/tests/test_door_network.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from cloverhinge.door.clients import prove
-from tests.stand import SETTINGS, WAIT_S, Program, Pump, Wire, answer, site
+from cloverhinge.lab.stand import SETTINGS, WAIT_S, Program, Pump, Wire, answer, site
 from tests.test_hls import MediaBox, Player
 
 KEY = "m" * 16
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.stand import ROOT, WAIT_S, ChangeLog, Message, Pump, Wire, answer, ask, site
+from cloverhinge.lab.stand import ROOT, WAIT_S, ChangeLog, Message, Pump, Wire, answer, ask, site
 
 
 def test_a_session_from_set_up_to_its_release(tmp_path: Path) -> None:
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -17,10 +17,10 @@
 from cloverhinge.core.model import Boxes
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import Table
+from cloverhinge.lab.stand import Message, Pump, Wire, answer, ask, site
 from cloverhinge.net import rtsp
 from cloverhinge.net.front import Front, RtspViewer, ViewerLine
 from tests.helpers import settings
-from tests.stand import Message, Pump, Wire, answer, ask, site
 from tests.test_rtsp import Transport
 
 
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -11,7 +11,7 @@
 
 from cloverhinge import site
 from cloverhinge.core.told import ConfigError
-from tests.stand import ROOT, WAIT_S
+from cloverhinge.lab.stand import ROOT, WAIT_S
 
 KEY = "k" * 32
 HLS = f'[hls]\nlisten = "127.0.0.1:0"\nkey = "{KEY}"\n'
