Membership in several processes: seventeen schedules of faults, checkers, and each guard taken out

Need: the promises of members/ have to be seen on real processes with faults between them, and each test has to be seen to fail without what it guards.

--- a/cloverhinge/lab/hub.py
+++ b/cloverhinge/lab/hub.py
@@ -24,6 +24,7 @@
 T = TypeVar("T")
 
 HELD_MOST = 10_000  # datagrams of a direction that is held back; more are lost
+TAPPED = 50  # datagrams after which a tap is told of
 CHUNK = 65536
 RESEND_MS = 200.0  # what a lost segment costs a connection at least (RFC 6298)
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: closing sends a reset
@@ -75,6 +76,7 @@
         self.ways: dict[tuple[str, str], Way] = {}
         self.usual = USUAL
         self.counts = {"passed": 0, "lost": 0, "bytes": 0}
+        self.tapped: dict[str, list[bytes]] = {}  # copies of what came for a router, where it is asked for
         self._busy_until: dict[tuple[str, str], float] = {}
         self._held: dict[tuple[str, str], list[Callable[[], None]]] = {}
         self._links: dict[tuple[str, str], set[asyncio.StreamWriter]] = {}
@@ -225,6 +227,11 @@
 
     def datagram(self, sender: Port, to: Port, data: bytes) -> None:
         way, pair = self.way(sender.name, to.name), (sender.name, to.name)
+        tap = self.tapped.get(to.name)
+        if tap is not None and len(tap) < HELD_MOST:
+            tap.append(data)
+            if len(tap) == TAPPED:
+                self.record.add("hub", "tapped", name=to.name)
         if way.cut or self.random.random() < way.loss:
             self.counts["lost"] += 1
             return
--- a/cloverhinge/lab/rig.py
+++ b/cloverhinge/lab/rig.py
@@ -60,8 +60,8 @@
         (self.folder / "config.json").write_text(json.dumps(told))
         (self.folder / "site.toml").write_text(rig.site_file(self))
         self.process = subprocess.Popen(
-            [sys.executable, *(["-O"] if rig.optimized else []), "-m", "cloverhinge", "serve", "--site",
-             str(self.folder / "site.toml")], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            [sys.executable, *rig.program, "serve", "--site", str(self.folder / "site.toml")], cwd=ROOT,
+            stderr=subprocess.PIPE, text=True,
             env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")})
         rig.record.add(self.name, "started", life=self.lives)
         threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
@@ -130,14 +130,17 @@
 
 
 class Rig:
-    """`count` routers in `sites` sites by turns; `tables` are further tables of their site files."""
+    """`count` routers in `sites` sites by turns.
+
+    `tables` are further tables of their site files, `program` is what Python is started with.
+    """
 
     def __init__(self, folder: Path, count: int, sites: int = 1, pumps: Sequence[Pump] = (), seed: int = 1,
-                 members: dict[str, Any] | None = None, tables: str = "", optimized: bool = False,
-                 **settings: Any) -> None:
+                 members: dict[str, Any] | None = None, tables: str = "",
+                 program: Sequence[str] = ("-m", "cloverhinge"), **settings: Any) -> None:
         if count > ROUTERS_MOST:
             raise ValueError(f"{count} routers, {ROUTERS_MOST} at most")
-        self.folder, self.seed, self.pumps, self.optimized = folder, seed, list(pumps), optimized
+        self.folder, self.seed, self.pumps, self.program = folder, seed, list(pumps), list(program)
         self.settings: dict[str, Any] = {"fleetSize": count, **settings}
         self.members, self.tables = members or {}, tables
         place = os.getpid() + 1009 * next(_rigs)  # two rigs of one machine do not meet
--- /dev/null
+++ b/tests/guards.py
@@ -0,0 +1,161 @@
+"""Takes one guard out of the program, to see that the test which names it fails: `python -m tests.guards`.
+
+No part of CI.  LAB_GUARD_OUT names the guard, in the tests' process and in the routers that they start.
+"""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from cloverhinge.members import core, watch, wire
+
+VARIABLE = "LAB_GUARD_OUT"
+
+
+def no_pauses() -> None:
+    def wake(self: core.Members, now: float) -> None:
+        self._last_ms = now
+
+    core.Members._wake = wake  # type: ignore[method-assign]
+
+
+def no_way_round() -> None:
+    def direct(own: str, hears: Any, records: Any, names: Any) -> set[str]:
+        return {own, *hears} & {own, *names}
+
+    core.reached = direct  # type: ignore[attr-defined]
+
+
+def no_objection() -> None:
+    core.Members._defend = lambda self, now, told: None  # type: ignore[method-assign]
+
+
+def no_window() -> None:
+    wire.Window.take = lambda self, number: True  # type: ignore[method-assign]
+
+
+def any_key() -> None:
+    wire.Seal.open = lambda self, sealed: sealed[wire.HEAD:]  # type: ignore[method-assign]
+
+
+def any_word() -> None:
+    core.Members._merge = (  # type: ignore[method-assign]
+        lambda self, now, message: self._take_all(now, message.news))
+
+
+def no_farewell() -> None:
+    core.Members.leave = lambda self, now: []  # type: ignore[method-assign]
+
+
+def no_hello() -> None:
+    hello = core.Members._say_hello
+
+    def only_joining(self: core.Members, now: float) -> None:
+        if not self.joined:
+            hello(self, now)
+
+    core.Members._say_hello = only_joining  # type: ignore[method-assign]
+
+
+def no_twins() -> None:
+    core.Members._twin = lambda self, now, run, came: None  # type: ignore[method-assign]
+
+
+def no_refusals() -> None:
+    watch.Watch.refusing = property(lambda self: False)  # type: ignore[assignment, method-assign]
+
+
+def one_observer() -> None:
+    verdict = core.Members._verdict
+
+    def hasty(self: core.Members, now: float, name: str, known: Any, observers: frozenset[str]) -> str:
+        if name in self.watches and name not in self.own.hears:
+            return "I do not hear it"
+        return verdict(self, now, name, known, observers)
+
+    core.Members._verdict = hasty  # type: ignore[method-assign]
+    no_way_round()
+
+
+def forgets_own_name() -> None:
+    core.Members._welcome = _welcome_without_own(core.Members._welcome)  # type: ignore[method-assign]
+    no_objection()
+
+
+def _welcome_without_own(welcome: Any) -> Any:
+    def told(self: core.Members, now: float, message: wire.Welcome) -> None:
+        message.yours = None
+        welcome(self, now, message)
+
+    return told
+
+
+REAL, VIRTUAL = "tests/test_lab_members.py", "tests/test_members.py"
+GUARDS: dict[str, tuple[Callable[[], None], list[str]]] = {
+    "a process that slept credits the others with that time": (no_pauses, [
+        f"{REAL}::test_all_paused_at_once", f"{VIRTUAL}::test_all_paused_at_once_accuse_nobody"]),
+    "who is reached over others is in": (no_way_round, [
+        f"{REAL}::test_two_are_cut_while_both_reach_a_third", f"{REAL}::test_a_hears_b_but_b_not_a",
+        f"{REAL}::test_one_site_reaches_half_of_another"]),
+    "a member is out by its observers' word, not by one's": (one_observer, [
+        f"{REAL}::test_a_third_lost_doubled_and_out_of_order", f"{REAL}::test_a_hears_b_but_b_not_a"]),
+    "who is held for dead and is not comes back by a new incarnation": (no_objection, [
+        f"{REAL}::test_a_pause_under_the_bound_and_one_over_it",
+        f"{REAL}::test_a_split_settles_on_both_sides_and_heals",
+        f"{REAL}::test_a_router_that_nobody_hears_is_out_learns_it_and_returns_once"]),
+    "a starter asks which incarnations of its name were there": (forgets_own_name, [
+        f"{REAL}::test_restarted_at_once_under_the_same_name",
+        f"{REAL}::test_a_killed_router_is_out_and_comes_back_as_a_higher_incarnation"]),
+    "no number of a run counts twice": (no_window, [f"{REAL}::test_forged_and_replayed_datagrams"]),
+    "what is not signed with the key is refused": (any_key, [f"{REAL}::test_forged_and_replayed_datagrams"]),
+    "the word of one that hears nobody is not taken": (any_word, [
+        f"{VIRTUAL}::test_a_member_that_hears_nobody_or_that_nobody_hears_is_out_once_and_learns_it"]),
+    "a planned end is told": (no_farewell, [f"{REAL}::test_a_rolling_end_of_all_accuses_nobody"]),
+    "those who are out, and the seeds, are asked again and again": (no_hello, [
+        f"{REAL}::test_a_split_settles_on_both_sides_and_heals",
+        f"{REAL}::test_a_joiner_whose_seeds_are_all_down"]),
+    "two routers of one name tell each other apart": (no_twins, [
+        f"{REAL}::test_two_routers_of_one_name"]),
+    "an address that refuses is evidence": (no_refusals, [
+        f"{VIRTUAL}::test_half_of_the_members_killed_at_once",
+        f"{VIRTUAL}::test_a_killed_member_is_out_everywhere_within_two_seconds"]),
+}
+
+
+def out() -> None:
+    """Takes out the guard that the environment names, if it names one."""
+    if name := os.environ.get(VARIABLE):
+        GUARDS[name][0]()
+
+
+def program() -> list[str]:
+    """What Python is started with: the program, or the program without that guard."""
+    if VARIABLE not in os.environ:
+        return ["-m", "cloverhinge"]
+    return ["-c", "import sys; from tests.guards import out; out(); from cloverhinge.cli import main; "
+            "sys.exit(main(sys.argv[1:]))"]
+
+
+def main() -> int:
+    from benchmarks.tables import keep
+
+    rows: list[dict[str, object]] = []
+    for name, (_, tests) in GUARDS.items():
+        for test in tests:
+            done = subprocess.run([sys.executable, "-m", "pytest", "-n", "0", test], capture_output=True,
+                                  text=True, env={**os.environ, VARIABLE: name})
+            seen = "fails" if done.returncode == 1 else f"PASSES ({done.returncode})"
+            rows.append({"taken out": name, "test": test.partition("::")[2], "without it": seen})
+            print(rows[-1], flush=True)
+    keep("members_guards", "Membership: each test without the guard that it is for", [
+        ("`fails` is what is wanted: the same test passes with the guard in.", rows)],
+        "python -m tests.guards")
+    return int(any(row["without it"] != "fails" for row in rows))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_lab_members.py
@@ -0,0 +1,252 @@
+"""Membership in several processes of the program, with faults between them, checked on the run's record."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverhinge.lab import checks
+from cloverhinge.lab.rig import KEY, Rig, Router, rig
+from cloverhinge.lab.schedule import Step, play, read
+from cloverhinge.lab.stand import ROOT
+from cloverhinge.members import wire
+from tests import guards
+
+BOUND_MS = 3500.0  # docs/operators/members.md: a pause under this removes nobody
+SOON_S = 20.0  # for what has to come, also on a busy machine
+
+
+@contextmanager
+def five(folder: Path, count: int = 5, **more: Any) -> Iterator[Rig]:
+    with rig(folder, count, program=guards.program(), **more) as made:
+        yield made
+        assert not checks.all_of(made.record, BOUND_MS), made.record.tail()
+
+
+def dead(made: Rig) -> set[str]:
+    return {x.told["name"] for x in made.record.of("changed") if x.told["to"] == "dead"}
+
+
+def later_kill(made: Rig, number: int, others: list[Router]) -> None:
+    """Gives all that was to come before it the time to come, without a wait for a time."""
+    made[number].kill()
+    made.until_agreed(others, SOON_S)
+
+
+def test_a_killed_router_is_out_and_comes_back_as_a_higher_incarnation(tmp_path: Path) -> None:
+    with five(tmp_path) as made:
+        made[1].kill()
+        made.until_agreed(seconds=SOON_S)
+        assert dead(made) == {"r1"}
+        made[1].start()
+        made[1].until_started()
+        made.until_agreed(seconds=SOON_S)
+        rows = {x["name"]: x for x in made[0].status()["members"]["list"]}
+        assert rows["r1"]["incarnation"] == 2 and rows["r1"]["state"] == "alive"
+
+
+def test_restarted_at_once_under_the_same_name(tmp_path: Path) -> None:
+    with five(tmp_path) as made:
+        made[2].kill()
+        made[2].start()
+        made[2].until_started()
+        made.until_agreed(seconds=SOON_S)
+        made.record.until(lambda: all(any(
+            x.told["name"] == "r2" and x.told["incarnation"] == 2 for x in made.record.of("changed", y.name))
+            for y in made.routers), SOON_S, "the second incarnation everywhere")
+        later_kill(made, 4, made.routers[:4])
+        assert all(sum(x.told["incarnation"] > 2 for x in made.record.of("changed", y.name)) == 0
+                   for y in made.routers)
+
+
+def test_a_pause_under_the_bound_and_one_over_it(tmp_path: Path) -> None:
+    with five(tmp_path) as made:
+        play(made, [Step(0.0, "pause", (0,)), Step(2.0, "wake", (0,))])
+        made.record.until(lambda: bool(made[0].said("away for")), SOON_S, "it knows that it slept")
+        later_kill(made, 4, made.routers[:4])
+        assert dead(made) == {"r4"}
+        made[0].pause()
+        made.until_agreed(made.routers[1:4], SOON_S)
+        made[0].wake()
+        made.until_agreed(made.routers[:4], SOON_S)
+        assert made[0].said("was held for dead")
+        assert len([x for x in made.record.of("changed", "r1") if x.told["name"] == "r0"
+                    and x.told["to"] == "returned"]) == 1
+
+
+def test_all_paused_at_once(tmp_path: Path) -> None:
+    with five(tmp_path) as made:  # the first is suspect already when the others begin to sleep
+        play(made, [Step(0.0, "pause", (0,)), Step(2.0, "pause", (1, 2, 3, 4)),
+                    Step(7.0, "wake", tuple(range(5)))])
+        made.record.until(lambda: all(x.said("away for") for x in made.routers), SOON_S, "all know it")
+        later_kill(made, 4, made.routers[:4])
+        assert dead(made) == {"r4"}
+
+
+def test_a_third_lost_doubled_and_out_of_order(tmp_path: Path) -> None:
+    with five(tmp_path) as made:
+        made.hub.every(loss=0.3, twice=0.2, late=0.3, jitter_ms=20.0)
+        made.record.pause(8.0)
+        assert not dead(made)
+        later_kill(made, 3, [x for x in made.routers if x.number != 3])
+        assert dead(made) == {"r3"}
+        assert made[0].status()["members"]["counters"]["replayed"] > 0
+
+
+def test_a_hears_b_but_b_not_a(tmp_path: Path) -> None:
+    with five(tmp_path) as made:
+        made.hub.change("r0", "r1", cut=True)
+        made.record.pause(6.0)
+        rows = {x["name"]: x for x in made[3].status()["members"]["list"]}
+        assert rows["r1"]["reach"]["not_heard_by"] == ["r0"] and rows["r1"]["state"] == "alive"
+        later_kill(made, 4, made.routers[:4])
+        assert dead(made) == {"r4"}
+
+
+def test_two_are_cut_while_both_reach_a_third(tmp_path: Path) -> None:
+    with five(tmp_path, 3) as made:
+        made.hub.cut(["r0"], ["r1"])
+        made.record.pause(6.0)
+        assert made.agreed(made.routers) and not dead(made)
+        rows = {x["name"]: x for x in made[2].status()["members"]["list"]}
+        assert rows["r0"]["reach"] == {"heard_by": ["r2"], "not_heard_by": ["r1"]}
+
+
+def test_one_site_reaches_half_of_another(tmp_path: Path) -> None:
+    with five(tmp_path, 6, sites=2) as made:
+        made.hub.cut(["r0", "r2", "r4"], ["r1"])
+        made.hub.cut(["r0", "r2", "r4"], ["r3"], both=False)
+        made.record.pause(6.0)
+        assert made.agreed(made.routers) and not dead(made)
+
+
+def test_a_router_that_nobody_hears_is_out_learns_it_and_returns_once(tmp_path: Path) -> None:
+    with five(tmp_path) as made:
+        made.hub.cut(["r0"], ["r1", "r2", "r3", "r4"], both=False)
+        made.until_agreed(made.routers[1:], SOON_S)
+        made.record.until(lambda: bool(made[0].said("was held for dead")), SOON_S, "it learns that it is out")
+        made.hub.heal()
+        made.until_agreed(seconds=SOON_S)
+
+
+@pytest.mark.parametrize("count, left", [(5, 3), (4, 2)])
+def test_a_split_settles_on_both_sides_and_heals(tmp_path: Path, count: int, left: int) -> None:
+    with five(tmp_path, count) as made:
+        some, others = made.routers[:left], made.routers[left:]
+        made.hub.cut(made.names(some), made.names(others))
+        made.until_agreed(some, SOON_S)
+        made.until_agreed(others, SOON_S)
+        told = [x.status()["members"] for x in (some[0], others[0])]
+        assert [x["majority"] for x in told] == [count == 5, False] and {x["whole"] for x in told} == {count}
+        made.hub.heal()
+        made.until_agreed(seconds=SOON_S)
+
+
+def test_a_rolling_end_of_all_accuses_nobody(tmp_path: Path) -> None:
+    with five(tmp_path) as made:
+        for router in made.routers:
+            assert router.terminate() == 0
+            made.until_agreed([x for x in made.routers if x is not router], SOON_S)
+            router.start()
+            router.until_started()
+            made.until_agreed(seconds=SOON_S)
+        assert not dead(made)
+        assert {x.told["to"] for x in made.record.of("changed")} <= {"joined", "left", "restarted"}
+
+
+def test_a_joiner_whose_seeds_are_all_down(tmp_path: Path) -> None:
+    made = Rig(tmp_path, 5, program=guards.program())
+    try:
+        made[4].start()
+        made[4].until_started()
+        assert made[4].said("begins alone") and made.agreed([made[4]])
+        for router in made.routers[:4]:
+            router.start()
+        made.until_agreed(made.routers, SOON_S)
+    finally:
+        made.stop()
+
+
+def test_forged_and_replayed_datagrams(tmp_path: Path) -> None:
+    """A key of another installation, a newer version, no message at all, and its own datagrams once more."""
+    with five(tmp_path) as made:
+        caught = made.hub.tapped.setdefault("r0", [])
+        made.record.until(lambda: any(made.record.of("tapped")), SOON_S, "datagrams")
+        caught = caught[:]
+        real = made[0].ports["members"]
+        word = wire.encode(wire.News(sender="r1", run=5, to=0, number=1))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as forger:
+            forger.bind((made[1].host, 0))
+            newer = bytearray(wire.Seal((KEY.encode(),)).close(word))
+            newer[2] += 1
+            for data in (wire.Seal((b"x" * 40,)).close(word), bytes(newer), b"nothing", b"", *caught):
+                forger.sendto(data, real)
+            for _ in range(5):
+                for data in caught:
+                    forger.sendto(data, real)
+        lines = ("a key that this installation", "speaks version 2", "no message of a member")
+        made.record.until(lambda: all(made[0].said(x) for x in lines), SOON_S, "one line each")
+        later_kill(made, 4, made.routers[:4])
+        told = made[0].status()["members"]
+        assert dead(made) == {"r4"} and told["counters"]["replayed"] >= len(caught)
+        assert all(len(made[0].said(x)) == 1 for x in lines)
+        assert told["refused"]["key"] == 1
+
+
+def test_two_routers_of_one_name(tmp_path: Path) -> None:
+    with five(tmp_path) as made:
+        made[4].kill()
+        made.until_agreed(seconds=SOON_S)
+        text = (made[4].folder / "config.json").read_text().replace('"name": "r4"', '"name": "r1"')
+        (made[4].folder / "config.json").write_text(text)
+        twin = subprocess.Popen(
+            [sys.executable, *guards.program(), "serve", "--site", str(made[4].folder / "site.toml")],
+            cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            env={**os.environ, "LB_CONFIG": str(made[4].folder / "config.json")})
+        limit = threading.Timer(SOON_S, twin.kill)  # its log ends then, and the test with it
+        limit.start()
+        try:
+            assert twin.stderr is not None
+            for line in twin.stderr:
+                if "members: listening" in line:
+                    made.hub.attach("r4", (made[4].host, int(line.split("members: listening on ")[1]
+                                                             .split(",")[0].split(":")[1])))
+                if "is another living router's" in line:
+                    break
+            else:
+                raise AssertionError("the later one did not see it")
+            made.record.until(lambda: bool(made[1].said("calls itself r1")), SOON_S, "the other sees it")
+            assert made.agreed(made.routers[:4])
+        finally:
+            limit.cancel()
+            twin.kill()
+            twin.wait()
+            assert twin.stderr is not None
+            twin.stderr.close()
+
+
+def test_half_of_the_members_killed_within_100_ms(tmp_path: Path) -> None:
+    with five(tmp_path, 8) as made:
+        for router in made.routers[::2]:
+            router.signal(9)
+        made.until_agreed(made.routers[1::2], SOON_S)
+        assert dead(made) == {"r0", "r2", "r4", "r6"}
+
+
+def test_schedules_come_from_files_and_say_what_is_wrong_with_them(tmp_path: Path) -> None:
+    path = tmp_path / "schedule.toml"
+    path.write_text('[[step]]\nat_s = 2\nact = "heal"\n'
+                    '[[step]]\nat_s = 1\nact = "cut"\nwho = [0]\nothers = [1]\n')
+    assert [x.act for x in read(path)] == ["cut", "heal"]
+    path.write_text('[[step]]\nat_s = 2\nact = "burn"\n')
+    with pytest.raises(ValueError, match="step 1: nothing is called burn"):
+        read(path)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -69,7 +69,9 @@
 def test_all_paused_at_once_accuse_nobody() -> None:
     """Guards from the timers of those who slept."""
     world = begun(8)
-    for router in world.routers:
+    world.net.pause(world.routers[0].process)
+    world.net.run(2000.0)  # under suspicion already when the others begin to sleep
+    for router in world.routers[1:]:
         world.net.pause(router.process)
     world.net.run(20_000.0)
     for n, router in enumerate(world.routers):
