--- /dev/null
+++ b/benchmarks/members.py
@@ -0,0 +1,249 @@
+"""Membership measured: on real processes behind the lab's hub, and in virtual time where there are too many.
+
+    python -m benchmarks.members [kills | heal | cost | setups | soak [MINUTES]] ...
+
+Without a part all are run (45 minutes, most of them the soak); with parts, the others keep their last
+figures, which docs/results/members.json holds.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import socket
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from benchmarks.door import used_s
+from benchmarks.tables import RESULTS, keep
+from cloverhinge.emulator.routers import World
+from cloverhinge.lab import checks, schedule
+from cloverhinge.lab.rig import rig
+from cloverhinge.lab.stand import ChangeLog, Program, Pump, Wire, answer, ask
+
+Rows = list[dict[str, object]]
+OPTIMIZED = ("-O", "-m", "cloverhinge")
+KILLS, MEMBERS, HEALS = 100, 16, 5
+BOUND_MS = 3500.0
+
+
+def share(values: list[float], part: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def figures(values: list[float]) -> dict[str, object]:
+    return {"n": len(values), "p50 ms": round(share(values, 0.5)), "p99 ms": round(share(values, 0.99)),
+            "most ms": round(max(values))}
+
+
+def kills() -> Rows:
+    """From SIGKILL until the last of the others has told that the router is out."""
+    draw, known, back, seen = random.Random(7), [], [], 0
+    with tempfile.TemporaryDirectory() as name, rig(Path(name), MEMBERS, program=OPTIMIZED) as made:
+        for _ in range(KILLS):
+            victim = made[draw.randrange(MEMBERS)]
+            made.record.pause(draw.random())
+            at = made.record.now()
+            victim.signal(9)
+            others = [x for x in made.routers if x is not victim]
+            made.until_agreed(others, 30.0)
+            told = [x.ms for x in made.record.of("changed", since_ms=at)
+                    if x.told["name"] == victim.name and x.told["to"] == "dead"]
+            known.append(max(told) - at)
+            victim.until_ended()
+            victim.start()
+            at = made.record.now()
+            victim.until_started()
+            made.until_agreed(seconds=30.0)
+            back.append(made.record.now() - at)
+        seen = len(checks.all_of(made.record, BOUND_MS))
+    return [{"what": f"killed, one of {MEMBERS}: until all others know", **figures(known)},
+            {"what": "started again: until all hold one view (with the program's start)", **figures(back)},
+            {"what": "broken promises in the record", "n": seen, "p50 ms": "", "p99 ms": "", "most ms": ""}]
+
+
+def heal() -> Rows:
+    """From the heal of a cut until all hold one view that stays; the cut lasts until both sides settled."""
+    rows: Rows = []
+    with tempfile.TemporaryDirectory() as name, rig(Path(name), 5, program=OPTIMIZED) as made:
+        cuts: dict[str, tuple[list[int], list[int], bool]] = {
+            "split 3:2": ([0, 1, 2], [3, 4], True), "split 4:1": ([0, 1, 2, 3], [4], True),
+            "one is heard by nobody": ([0], [1, 2, 3, 4], False),
+            "one hears nobody": ([1, 2, 3, 4], [0], False)}
+        for what, (some, others, both) in cuts.items():
+            took = []
+            for _ in range(HEALS):
+                made.hub.cut([f"r{x}" for x in some], [f"r{x}" for x in others], both)
+                larger = max(some, others, key=len)
+                made.until_agreed([made[x] for x in larger], 30.0)
+                made.record.pause(2.0)  # the smaller side settles too, or learns that it is out
+                at = made.record.now()
+                made.hub.heal()
+                made.until_agreed(seconds=30.0)
+                made.record.pause(2.0)
+                assert made.agreed(made.routers)
+                took.append(max((x.ms for x in made.record.of("changed", since_ms=at)), default=at) - at)
+            rows.append({"cut": what, **figures(took)})
+    return rows
+
+
+def resident_mb(process: int) -> float:
+    for line in Path(f"/proc/{process}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024.0
+    raise ValueError("the process has no resident memory")
+
+
+def alone_mb(folder: Path) -> float:
+    """A router without members, settled."""
+    log = ChangeLog()
+    program = Program(folder, [], log)
+    try:
+        log.followers.get(timeout=10.0)
+        return resident_mb(program.process.pid)
+    finally:
+        program.end()
+        log.stop()
+
+
+def cost(seconds: float = 20.0) -> Rows:
+    rows: Rows = []
+    for count in (3, 16):
+        with tempfile.TemporaryDirectory() as name:
+            without = alone_mb(Path(name))
+        with tempfile.TemporaryDirectory() as name, rig(Path(name), count) as made:
+            made.record.pause(10.0)
+            processes = [x.process.pid for x in made.routers if x.process is not None]
+            before = sum(map(used_s, processes)), made.hub.counts["passed"], made.hub.counts["bytes"]
+            made.record.pause(seconds)
+            after = sum(map(used_s, processes)), made.hub.counts["passed"], made.hub.counts["bytes"]
+            used, passed, size = ((y - x) / seconds / count for x, y in zip(before, after, strict=True))
+            mb = sum(map(resident_mb, processes)) / count - without
+        rows.append({"members": f"{count} (processes)", "datagrams a second": passed, "bytes a second": size,
+                     "processor": f"{used:.2%}", "memory MB": mb})
+    for count in (16, 64, 400):
+        world = World(count, 3)
+        world.start(30_000.0 if count < 400 else 45_000.0)
+        assert world.agreed()
+        messages, size, span, begun = world.net.messages, world.net.bytes, 10.0, time.process_time()
+        world.net.run(span * 1000.0)
+        rows.append({"members": f"{count} (virtual)",
+                     "datagrams a second": (world.net.messages - messages) / count / span,
+                     "bytes a second": (world.net.bytes - size) / count / span,
+                     "processor": f"{(time.process_time() - begun) / count / span:.2%} (core alone)",
+                     "memory MB": ""})
+    return rows
+
+
+class Quick(Pump):
+    """Answers set-ups and questions at once, keeps nothing."""
+
+    def serve(self, wire: Wire) -> None:
+        while message := wire.read():
+            if message.start.startswith("SETUP"):
+                wire.send("RTSP/1.0 200 OK", message.session, body=b"made")
+            elif message.start.startswith("OPTIONS"):
+                wire.send("RTSP/1.0 200 OK", message.session, 3, X_Circuits=self.load)
+
+
+def load(where: tuple[str, int], process: int, seconds: float = 6.0, lines: int = 4) -> dict[str, float]:
+    """Viewers in a closed loop; the pace by the router's own processor time tells most."""
+    took: list[float] = []
+    until, before = time.monotonic() + seconds, used_s(process)
+
+    def viewer(at: int) -> None:
+        wire, count = Wire(socket.create_connection(where, 10.0)), 0
+        while time.monotonic() < until:
+            count += 1
+            begun = time.monotonic()
+            session = ask(wire, at << 32 | count)
+            served = answer(wire).status == 200
+            took.append((time.monotonic() - begun) * 1000.0)
+            assert served
+            wire.send("TEARDOWN rtsp://media/x RTSP/1.0", session, 2)
+            answer(wire)
+        wire.close()
+
+    threads = [threading.Thread(target=viewer, args=(at,)) for at in range(lines)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return {"pace": len(took) / seconds, "by processor": len(took) / (used_s(process) - before),
+            "p99": share(took, 0.99)}
+
+
+def setups(rounds: int = 7) -> Rows:
+    """With members off and on in turns; five members, the others on cores of their own."""
+    seen: dict[str, list[dict[str, float]]] = {"off": [], "on": []}
+    for _ in range(rounds):
+        with tempfile.TemporaryDirectory() as name:
+            pumps, log = [Quick(f"s-{n:08x}", n) for n in range(2)], ChangeLog()
+            program = Program(Path(name), list(pumps), log)
+            seen["off"].append(load(("127.0.0.1", program.port), program.process.pid))
+            program.end()
+            for stand in (*pumps, log):
+                stand.stop()
+        with tempfile.TemporaryDirectory() as name, rig(
+                Path(name), 5, pumps=[Quick(f"s-{n:08x}", n) for n in range(2)], gated=False,
+                fleetSize=1) as made:
+            process = made[0].process
+            assert process is not None
+            seen["on"].append(load(made[0].ports["listening"], process.pid))
+    rows: Rows = [{"members": kind, "set-ups a second, median": share([x["pace"] for x in all_], 0.5),
+                   "a second of its processor, median": share([x["by processor"] for x in all_], 0.5),
+                   "p99 ms, median": round(share([x["p99"] for x in all_], 0.5), 2)}
+                  for kind, all_ in seen.items()]
+    return rows
+
+
+def soak(minutes: float) -> Rows:
+    """Sixteen processes, a fifth of datagrams lost, random pauses of up to 2 s, busy loops on all cores."""
+    with tempfile.TemporaryDirectory() as name, rig(Path(name), MEMBERS, program=OPTIMIZED) as made:
+        made.hub.every(loss=0.2)
+        made.starve(os.cpu_count() or 1)
+        at = made.record.now()
+        schedule.play(made, schedule.pauses(11, MEMBERS, minutes * 60.0, every_s=1.0, most_s=2.0))
+        made.relieve()
+        made.until_agreed(made.routers, 30.0)
+        told: Counter[str] = Counter(x.told["to"] for x in made.record.of("changed", since_ms=at))
+        pauses = sum(x.told.get("signal") == "SIGSTOP" for x in made.record.of("fault"))
+        counters = [x.status()["members"]["counters"] for x in made.routers]
+        return [{"minutes": round((made.record.now() - at) / 60_000.0, 1), "processes": MEMBERS,
+                 "pauses made": pauses, "away seen": sum(x["pauses"] for x in counters),
+                 "suspected": told["suspect"], "removed": told["dead"], "returned": told["returned"],
+                 "datagrams lost": made.hub.counts["lost"], "passed": made.hub.counts["passed"]}]
+
+
+PARTS: dict[str, tuple[str, Any]] = {
+    "kills": ("Real processes: 100 kills at random moments, with restarts under the same name.", kills),
+    "heal": (f"Five real processes: {HEALS} heals of each cut, until the last change of a view.", heal),
+    "cost": ("What it costs a member when nothing happens; memory against a router without it.", cost),
+    "setups": ("The router's own set-ups over RTSP, members off and on in turns.", setups),
+    "soak": ("False removals: a fifth of the datagrams lost, random pauses of up to 2 s, a busy loop for "
+             "each core beside the processes.", soak)}
+
+
+def main() -> None:
+    path = RESULTS / "members.json"
+    held: dict[str, Rows] = json.loads(path.read_text()) if path.exists() else {}
+    words = sys.argv[1:]
+    minutes = next((float(x) for x in words if x.replace(".", "").isdigit()), 30.0)
+    for part in [x for x in words if x in PARTS] or list(PARTS):
+        call = PARTS[part][1]
+        held[part] = call(minutes) if part == "soak" else call()
+        print(part, held[part], flush=True)
+        path.write_text(json.dumps(held, indent=1) + "\n")
+    keep("members", "Membership", [(PARTS[x][0], held[x]) for x in PARTS if x in held],
+         "python -m benchmarks.members")
+
+
+if __name__ == "__main__":
+    main()
--- a/cloverhinge/lab/rig.py
+++ b/cloverhinge/lab/rig.py
@@ -132,17 +132,18 @@
 class Rig:
     """`count` routers in `sites` sites by turns.
 
-    `tables` are further tables of their site files, `program` is what Python is started with.
+    `tables` are further tables of their site files, `program` is what Python is started with.  Boxes are
+    behind the hub too, unless `gated` says no.
     """
 
     def __init__(self, folder: Path, count: int, sites: int = 1, pumps: Sequence[Pump] = (), seed: int = 1,
                  members: dict[str, Any] | None = None, tables: str = "",
-                 program: Sequence[str] = ("-m", "cloverhinge"), **settings: Any) -> None:
+                 program: Sequence[str] = ("-m", "cloverhinge"), gated: bool = True, **settings: Any) -> None:
         if count > ROUTERS_MOST:
             raise ValueError(f"{count} routers, {ROUTERS_MOST} at most")
         self.folder, self.seed, self.pumps, self.program = folder, seed, list(pumps), list(program)
         self.settings: dict[str, Any] = {"fleetSize": count, **settings}
-        self.members, self.tables = members or {}, tables
+        self.members, self.tables, self.gated = members or {}, tables, gated
         place = os.getpid() + 1009 * next(_rigs)  # two rigs of one machine do not meet
         self.net = f"127.{10 + place // 250 % 200}.{place % 250}"
         self.record = Record()
@@ -155,6 +156,8 @@
 
     def rows(self, router: Router) -> list[dict[str, Any]]:
         """The boxes as this router is told of them: at gates of the hub's."""
+        if not self.gated:
+            return [pump.row() for pump in self.pumps]
         rows = []
         for pump in self.pumps:
             host, port = pump.address.rsplit(":", 1)
@@ -201,11 +204,26 @@
             self.busy.append(subprocess.Popen([sys.executable, "-c", "while True: pass"]))
         self.record.add("rig", "fault", busy=processors)
 
+    def share_core(self, router: Router) -> None:
+        """One core for this router and a busy loop, until `relieve`."""
+        assert router.process is not None
+        core = {router.number % (os.cpu_count() or 1)}
+        self.starve(1)
+        for process in (router.process.pid, self.busy[-1].pid):
+            os.sched_setaffinity(process, core)
+
+    def of_site(self, site: str) -> list[str]:
+        """Names, for faults by site: `hub.cut(of_site("s0"), of_site("s1"))`."""
+        return [x.name for x in self.routers if x.site == site]
+
     def relieve(self) -> None:
         for process in self.busy:
             process.kill()
             process.wait()
         self.busy.clear()
+        for router in self.routers:
+            if router.process is not None and router.running:
+                os.sched_setaffinity(router.process.pid, range(os.cpu_count() or 1))
         self.record.add("rig", "relieved")
 
     def stop(self) -> None:
