The lab: readers of the routers' logs end before the hub does; SWIM's model knows what was refuted

Cause: at the end of a measurement a reader thread told the hub of its router's end after the hub's loop had stopped, and waited 10 s for nothing (rig.py stop, hub.py detach). The SWIM model took an old suspicion after its refutation, as it kept no incarnation of others, so it removed far too many. Ruled out: the hub's own calls, which were answered in time before.

Change: stop joins the readers first; the model keeps the highest incarnation heard of each.

--- a/benchmarks/members_ways.py
+++ b/benchmarks/members_ways.py
@@ -100,6 +100,7 @@
         self.order: list[int] = []
         self.waiting: dict[int, float] = {}  # who was asked, and when
         self.suspects: dict[int, tuple[int, float, set[int]]] = {}
+        self.lives: dict[int, int] = {}  # the highest incarnation heard of each
         self.health = 0
 
     @property
@@ -153,7 +154,7 @@
 
     def missed(self, number: int) -> None:
         if number not in self.gone:
-            self.tell("suspect", number, self.model.nodes[number].incarnation)
+            self.tell("suspect", number, self.lives.get(number, 0))
 
     def patience(self, confirmations: int) -> float:
         return 4.0 * math.log10(max(3, len(self.model.numbers))) * PERIOD_MS
@@ -164,12 +165,15 @@
                 self.incarnation = incarnation + 1
                 self.tell("alive", self.number, self.incarnation)
                 self.accused()
+        elif what != "alive" and incarnation < self.lives.get(about, 0):
+            return  # it has been refuted
         elif what == "suspect" and about not in self.gone:
             self.suspects.setdefault(about, (incarnation, self.now, set()))[2].add(incarnation)
         elif what == "dead":
             self.suspects.pop(about, None)
             self.out(about)
-        elif what == "alive":
+        elif what == "alive" and incarnation > self.lives.get(about, 0):
+            self.lives[about] = incarnation
             self.suspects.pop(about, None)
             self.back(about)
 
--- a/cloverhinge/lab/rig.py
+++ b/cloverhinge/lab/rig.py
@@ -43,6 +43,7 @@
         self.ports: dict[str, tuple[str, int]] = {}
         self.view: tuple[int, str, int] | None = None  # number, digest, members in it
         self.lives = 0
+        self.readers: list[threading.Thread] = []
 
     @property
     def running(self) -> bool:
@@ -64,7 +65,9 @@
             stderr=subprocess.PIPE, text=True,
             env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")})
         rig.record.add(self.name, "started", life=self.lives)
-        threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
+        self.readers = [x for x in self.readers if x.is_alive()]
+        self.readers.append(threading.Thread(target=self._read, args=(self.process,), daemon=True))
+        self.readers[-1].start()
 
     def _read(self, process: subprocess.Popen[str]) -> None:
         record = self.rig.record
@@ -234,6 +237,8 @@
                 with suppress(ProcessLookupError):
                     router.process.kill()
                 router.process.wait()
+            for reader in router.readers:  # they tell the hub of the end, so it has to be there still
+                reader.join(WAIT_S)
         for listener in (*self.pumps, self.log):
             listener.stop()
         self.hub.stop()
