Custody begun: a register that changes owners once, and all orders of events in its model

Need: work that is taken over once cannot rest on membership's word alone, as views may differ; before anything is built on it, the way has to be shown to hold in every order of events.

Nothing of the program loads it yet.

Without the lease, the fence, the rule of the paid intent, or with a keeper that forgot and votes, the search finds the broken promise.

--- /dev/null
+++ b/cloverhinge/custody/register.py
@@ -0,0 +1,173 @@
+"""One register a record: compare-and-set over a majority of its keepers, leases that fence the owner.  Pure.
+
+A record's keepers are acceptors of single-decree Paxos whose value may be replaced, as CASPaxos describes it
+(Rystsov 2018); the epoch counts the owners.  A keeper that has granted an owner a lease denies others the
+record until the lease is over by its own clock (Gray and Cheriton 1989).  Every step is a function of a
+frozen state, so that all orders of events can be explored (`tests/test_custody_model.py`).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+Ballot = tuple[int, str]  # a counter that only grows, and who proposes
+NONE: Ballot = (0, "")
+
+
+class Phase(IntEnum):
+    """Of a piece of work; the first two have an owner who acts, the others are answers that stay."""
+
+    INTENT = 0  # its set-up may be on its way
+    STANDS = 1
+    FAILED = 2  # it may have run, and is never set up again
+    OVER = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A record's value.  `owner` names one run of one router, so that a restarted one owns nothing."""
+
+    owner: str
+    epoch: int  # one more with each owner
+    phase: Phase
+    paid: bool
+    body: bytes = b""  # the fronts' own: class, title, box, rung, token, expiry
+
+
+@dataclass(frozen=True, slots=True)
+class Slot:
+    """What one keeper remembers of one record."""
+
+    promised: Ballot = NONE
+    accepted: Ballot = NONE
+    work: Work | None = None
+
+
+EMPTY = Slot()
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """No ballot below this one is taken any more; `work` is the newest value that was."""
+
+    ballot: Ballot
+    accepted: Ballot
+    work: Work | None
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    ballot: Ballot
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """A higher ballot was promised, or another's lease runs for `left_ms` more."""
+
+    ballot: Ballot
+    promised: Ballot
+    owner: str = ""
+    left_ms: float = 0.0
+
+
+Reply = Promise | Accepted | Denied
+
+
+def owned(work: Work | None) -> str:
+    """Who acts on the work; "" where nobody does."""
+    return work.owner if work is not None and work.phase in (Phase.INTENT, Phase.STANDS) else ""
+
+
+def prepare(slot: Slot, ballot: Ballot, asker: str, lease_left_ms: float) -> tuple[Slot, Reply]:
+    """`lease_left_ms`: what is left here of the lease of the slot's owner."""
+    owner = owned(slot.work)
+    if owner and owner != asker and lease_left_ms > 0.0:
+        return slot, Denied(ballot, slot.promised, owner, lease_left_ms)
+    if ballot <= slot.promised:
+        return slot, Denied(ballot, slot.promised)
+    return replace(slot, promised=ballot), Promise(ballot, slot.accepted, slot.work)
+
+
+def accept(slot: Slot, ballot: Ballot, work: Work) -> tuple[Slot, Reply]:
+    """A ballot that was promised to another is void; one that was never asked about counts as promised."""
+    if ballot < slot.promised or ballot == slot.accepted and work != slot.work:
+        return slot, Denied(ballot, slot.promised)
+    return Slot(ballot, ballot, work), Accepted(ballot)
+
+
+def fenced(slot: Slot, owner: str) -> bool:
+    """Whether the owner must not act on this slot's word: another has been promised it, or has it."""
+    return owned(slot.work) != owner or slot.promised != slot.accepted
+
+
+def majority(keepers: int) -> int:
+    return keepers // 2 + 1
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """One router's try at one record: first it asks (a majority's promises), then it writes.
+
+    Where a majority of promises holds no value the record is new; otherwise the value of the highest accepted
+    ballot is what it was, and may be replaced by one that follows from it.
+    """
+
+    ballot: Ballot
+    keepers: int
+    promises: tuple[tuple[int, Promise], ...] = ()
+    work: Work | None = None  # what it writes, once that is decided
+    written: frozenset[int] = frozenset()
+
+    @property
+    def prepared(self) -> bool:
+        return len(self.promises) >= majority(self.keepers)
+
+    @property
+    def chosen(self) -> bool:
+        return self.work is not None and len(self.written) >= majority(self.keepers)
+
+    @property
+    def found(self) -> Work | None:
+        """The newest value among the promises."""
+        newest = max((x for _, x in self.promises), key=lambda x: x.accepted, default=None)
+        return None if newest is None else newest.work
+
+    def heard(self, keeper: int, reply: Reply) -> Proposal:
+        """Replies to other ballots, and second ones, change nothing."""
+        if reply.ballot != self.ballot:
+            return self
+        if isinstance(reply, Promise) and keeper not in (x for x, _ in self.promises) and self.work is None:
+            promises = sorted((*self.promises, (keeper, reply)), key=lambda x: x[0])
+            return replace(self, promises=tuple(promises))
+        if isinstance(reply, Accepted):
+            return replace(self, written=self.written | {keeper})
+        return self
+
+    def writes(self, work: Work) -> Proposal:
+        return replace(self, work=work, promises=())
+
+
+def taken_over(found: Work | None, asker: str, intent: Work) -> Work:
+    """What a router that found `found`, with its owner's lease over, may make of the record.
+
+    A paid intent may have left: it is never sent again, and its answer is a failure that stays.  An answer
+    that stays is written as it is, so that a majority holds it.
+    """
+    if found is None:
+        return intent
+    if found.phase in (Phase.FAILED, Phase.OVER):
+        return found
+    if found.owner == asker:
+        return found
+    if found.phase is Phase.INTENT and found.paid:
+        return replace(found, owner=asker, epoch=found.epoch + 1, phase=Phase.FAILED)
+    return replace(found, owner=asker, epoch=found.epoch + 1)
+
+
+def may_act(work: Work, own: str, written: frozenset[int], granted: frozenset[int], keepers: int) -> bool:
+    """Whether the owner may act now: a majority of keepers hold its value, unfenced, under leases that run.
+
+    Any other's majority meets this one in a keeper that denies it until that lease is over.
+    """
+    return work.owner == own and len(written & granted) >= majority(keepers)
--- /dev/null
+++ b/tests/test_custody_model.py
@@ -0,0 +1,229 @@
+"""All orders of events in a small model of the register: three keepers, an owner and two successors.
+
+Explored: every interleaving of requests, replies, lost and late messages (a message once sent may come at any
+later time, or never), keepers that crash and forget, leases that end, routers that die or sleep for good.
+Time is two events per lease: over for its owner, and only later over for the keeper.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+import pytest
+
+from cloverhinge.custody import register
+from cloverhinge.custody.register import EMPTY, Accepted, Phase, Promise, Proposal, Slot, Work
+
+KEEPERS = 3
+ROUTERS = ("A", "P", "Q")
+
+
+@dataclass(frozen=True)
+class Router:
+    """`tries` bounds the ballots; `granted` are keepers whose leases run by this router's own clock."""
+
+    proposal: Proposal | None = None
+    tries: int = 0
+    own: Work | None = None
+    granted: frozenset[int] = frozenset()
+    sent: bool = False
+    gone: bool = False
+
+
+GONE = Router(gone=True)
+
+
+@dataclass(frozen=True)
+class Keeper:
+    slot: Slot = EMPTY
+    lease: str = ""  # to whom one runs
+    down: bool = False
+
+
+Message = tuple[str, str, int, object]  # kind, router, keeper, told
+
+
+@dataclass(frozen=True)
+class World:
+    routers: tuple[Router, ...] = (Router(),) * 3
+    keepers: tuple[Keeper, ...] = (Keeper(),) * KEEPERS
+    wire: frozenset[Message] = frozenset()  # all that was ever sent and not yet had its effect
+    paid_sent: int = 0
+    late: bool = False  # one acted on a record that was another's by then
+    crashes: int = 0
+    chosen: frozenset[tuple[int, Work]] = frozenset()
+
+
+@dataclass(frozen=True)
+class Rules:
+    """What may be taken out, to see that the search finds what it is for."""
+
+    leases: bool = True
+    fences: bool = True
+    forgetful: bool = False  # a keeper that restarts empty votes again
+    resends: bool = False  # a successor sets a paid intent up again
+    crashes: int = 1
+    tries: int = 1
+
+
+def at(items: tuple[Router, ...], number: int, **changed: object) -> tuple[Router, ...]:
+    return (*items[:number], replace(items[number], **changed), *items[number + 1:])  # type: ignore[arg-type]
+
+
+def keep(items: tuple[Keeper, ...], number: int, **changed: object) -> tuple[Keeper, ...]:
+    return (*items[:number], replace(items[number], **changed), *items[number + 1:])  # type: ignore[arg-type]
+
+
+def steps(world: World, rules: Rules) -> Iterator[World]:
+    for number, name in enumerate(ROUTERS):
+        router = world.routers[number]
+        if router.gone:
+            continue
+        if router.proposal is None and router.tries < rules.tries and router.own is None:
+            proposal = Proposal((router.tries + 1, name), KEEPERS)
+            asked = {("prepare", name, k, proposal.ballot) for k in range(KEEPERS)}
+            yield replace(world, wire=world.wire | asked, routers=at(
+                world.routers, number, proposal=proposal, tries=router.tries + 1))
+        if router.proposal is not None and router.proposal.prepared and router.proposal.work is None:
+            intent = Work(name, 1, Phase.INTENT, True)
+            found = router.proposal.found
+            work = register.taken_over(found, name, intent)
+            if rules.resends and found is not None and found.phase is Phase.INTENT:
+                work = replace(found, owner=name, epoch=found.epoch + 1)
+            writes = {("accept", name, k, (router.proposal.ballot, work)) for k in range(KEEPERS)}
+            yield replace(world, wire=world.wire | writes, routers=at(
+                world.routers, number, proposal=router.proposal.writes(work)))
+        if router.proposal is not None and router.proposal.chosen and router.own is None:
+            own = router.proposal.work
+            assert own is not None
+            yield replace(world, chosen=world.chosen | {(own.epoch, own)},
+                          routers=at(world.routers, number, own=own))
+        if router.own is not None and register.owned(router.own) == name and not router.sent:
+            assert router.proposal is not None
+            granted = router.granted if rules.leases else frozenset(range(KEEPERS))
+            if register.may_act(router.own, name, router.proposal.written, granted, KEEPERS):
+                epochs = [x.slot.work.epoch for x in world.keepers if x.slot.work is not None]
+                late = sum(x > router.own.epoch for x in epochs) >= register.majority(KEEPERS)
+                yield replace(world, paid_sent=world.paid_sent + 1, late=world.late or late,
+                              routers=at(world.routers, number, sent=True))
+            for k in sorted(router.proposal.written - router.granted):
+                if rules.leases:
+                    yield replace(world, wire=world.wire | {("renew", name, k, None)})
+        if router.tries:  # it dies, or its clock says that its leases are over, before the keepers' clocks do
+            yield replace(world, routers=(
+                *world.routers[:number], GONE, *world.routers[number + 1:]))
+    for message in world.wire:
+        yield from heard(world, message, rules)
+    for k, keeper in enumerate(world.keepers):
+        if world.crashes < rules.crashes and not keeper.down:
+            lost = Keeper() if rules.forgetful else replace(keeper, down=True)
+            yield replace(world, crashes=world.crashes + 1, keepers=keep(world.keepers, k, **{
+                "slot": lost.slot, "lease": lost.lease, "down": lost.down}))
+        if keeper.lease and not world.routers[ROUTERS.index(keeper.lease)].granted:
+            yield replace(world, keepers=keep(world.keepers, k, lease=""))
+
+
+def heard(world: World, message: Message, rules: Rules) -> Iterator[World]:
+    kind, name, k, told = message
+    number, keeper = ROUTERS.index(name), world.keepers[k]
+    router = world.routers[number]
+    if keeper.down:
+        return
+    wire = world.wire - {message}  # a second copy has no effect: the keeper's answer to it is a denial
+    if kind in ("prepare", "accept"):
+        if kind == "prepare":
+            left = 1.0 if keeper.lease and keeper.lease == register.owned(keeper.slot.work) else 0.0
+            slot, reply = register.prepare(keeper.slot, told, name, left)  # type: ignore[arg-type]
+        else:
+            slot, reply = register.accept(keeper.slot, *told)  # type: ignore[misc]
+        if not isinstance(reply, Promise | Accepted):
+            return  # it may come once more, when a lease is over
+        kept = replace(world, keepers=keep(world.keepers, k, slot=slot), wire=wire)
+        if kind == "prepare" or router.gone:
+            yield kept  # the answer is lost
+        # One that comes later is one that comes now and is acted on later.
+        if not router.gone and router.proposal is not None:
+            yield replace(kept, routers=at(world.routers, number, proposal=router.proposal.heard(k, reply)))
+    else:
+        if rules.fences and register.fenced(keeper.slot, name) or keeper.lease:
+            return
+        # Granted and heard in one step: the owner counts from when it asked, so the keeper's ends later.
+        if not router.gone:
+            yield replace(world, keepers=keep(world.keepers, k, lease=name), wire=wire,
+                          routers=at(world.routers, number, granted=router.granted | {k}))
+
+
+def claims() -> list[World]:
+    """Two routers come at once for a record that nobody has."""
+    return [World(routers=(Router(), Router(), Router(gone=True)))]
+
+
+def losses(successors: int = 1) -> list[World]:
+    """A has the record, some keepers' leases and its set-up still to send; others come for it."""
+    ballot = 1, "A"
+    work = Work("A", 1, Phase.INTENT, True)
+    starts = []
+    for holders in ((0, 1), (0, 1, 2)):
+        for leased in ((), (0,), (0, 1)):
+            proposal = Proposal(ballot, KEEPERS, ((0, Promise(ballot, register.NONE, None)),), work,
+                                frozenset(holders))
+            owner = Router(proposal, 1, work, frozenset(leased))
+            late = {("accept", "A", k, (ballot, work)) for k in range(KEEPERS) if k not in holders}
+            starts.append(World(
+                (owner, Router(), Router() if successors > 1 else GONE), tuple(
+                    Keeper(Slot(ballot, ballot, work) if k in holders else EMPTY, "A" if k in leased else "")
+                    for k in range(KEEPERS)), frozenset(late), chosen=frozenset({(1, work)})))
+    return starts
+
+
+def explored(rules: Rules, starts: list[World], most: int = 1_500_000) -> tuple[int, str]:
+    """How many states there are, and the first promise found broken."""
+    check = promises
+    seen, left = set(starts), list(starts)
+    while left:
+        world = left.pop()
+        if broken := check(world):
+            return len(seen), broken
+        for following in steps(world, rules):
+            if following not in seen:
+                seen.add(following)
+                left.append(following)
+        assert len(seen) < most, "the model has grown too large to be explored whole"
+    return len(seen), ""
+
+
+def promises(world: World) -> str:
+    if world.paid_sent > 1:
+        return "a paid set-up left twice"
+    if world.late:
+        return "an owner acted after it had lost the record"
+    epochs = [epoch for epoch, work in world.chosen if register.owned(work)]
+    if len(epochs) != len(set(epochs)):
+        return "an epoch had two owners"
+    return ""
+
+
+@pytest.mark.parametrize("rules, starts", [(Rules(crashes=0), claims()), (Rules(), losses())])
+def test_no_order_of_events_pays_twice_or_gives_two_owners(rules: Rules, starts: list[World]) -> None:
+    states, broken = explored(rules, starts)
+    assert not broken and states > 10_000, (states, broken)
+
+
+@pytest.mark.parametrize("rules, starts", [
+    (Rules(resends=True), losses(2)), (Rules(forgetful=True), claims()), (Rules(leases=False), losses()),
+    (Rules(fences=False), losses())])
+def test_the_search_finds_what_each_guard_is_for(rules: Rules, starts: list[World]) -> None:
+    assert explored(rules, starts)[1]
+
+
+def main() -> None:
+    """The larger searches, some minutes: claims with a crash, and two successors."""
+    for what, rules, starts in (("two claim, a keeper crashes", Rules(), claims()),
+                                ("two successors", Rules(crashes=0), losses(2))):
+        states, broken = explored(rules, starts)
+        print(f"{what}: {states} states, {broken or 'no promise broken'}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
