Tests: a schedule drawn from a seed on real processes, and no herd of timers after a common start

Need: the schedules of faults that a seed draws were played by hand alone, and the spread of timers was not shown. Change: one test of each; the drawn schedule kills, pauses, cuts and mutes six routers for 22 s and is checked on its record.

--- a/tests/test_lab_members.py
+++ b/tests/test_lab_members.py
@@ -16,7 +16,7 @@
 
 from cloverhinge.lab import checks
 from cloverhinge.lab.rig import KEY, Rig, Router, rig
-from cloverhinge.lab.schedule import Step, play, read
+from cloverhinge.lab.schedule import Step, faults, play, read
 from cloverhinge.lab.stand import ROOT
 from cloverhinge.members import wire
 from tests import guards
@@ -246,6 +246,17 @@
         assert dead(made) == {"r0", "r2", "r4", "r6"}
 
 
+def test_a_schedule_drawn_from_a_seed_breaks_no_promise(tmp_path: Path) -> None:
+    with five(tmp_path, 6, seed=2) as made:
+        play(made, faults(2, 6, 22.0, 7.0))
+        assert any(made.record.of("fault"))
+        made.hub.heal()
+        for router in made.routers:
+            if not router.running:
+                router.start()
+        made.until_agreed(made.routers, SOON_S)
+
+
 def test_schedules_come_from_files_and_say_what_is_wrong_with_them(tmp_path: Path) -> None:
     path = tmp_path / "schedule.toml"
     path.write_text('[[step]]\nat_s = 2\nact = "heal"\n'
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -239,6 +239,17 @@
     assert rates[1] < 1.15 * rates[0]
 
 
+def test_a_common_start_makes_no_herd_of_timers() -> None:
+    """Guards the network and the cores from members that were started in the same instant."""
+    world = begun(16)
+    slices = []
+    for _ in range(80):
+        before = world.net.messages
+        world.net.run(25.0)
+        slices.append(world.net.messages - before)
+    assert max(slices) < 3.0 * sum(slices) / len(slices)
+
+
 def test_who_left_makes_room_in_a_full_table_and_who_is_dead_does_not() -> None:
     table = Table()
     for n in range(MOST):
