Membership read again: one bound for four tables, one header for messages, one quick box

Cause: reading the whole change again showed the same loop that drops the oldest entries at four tables of members/core.py, a knock's header written by hand beside _put, the draw of a few neighbours four times, a field that nothing read (_seen_self) and half of a tuple that nothing read (_hellos); the box that answers at once stood in benchmarks/door.py and again in benchmarks/members.py; and the operators' page named a counter, turned_away, that the status did not show.

Change: trim, _address and _some in the core; Quick in lab/stand.py for both benchmarks; the status shows turned_away, as the page says. Nothing else behaves otherwise. Looked at and left: the shapes shared with interface.py, door/fair.py and core/model.py are fields of other facts; the hub and the modelled network each cut pairs in six like lines, in two rooms that do not know each other.

--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -150,15 +150,7 @@
 
 def paces(folder: Path, door: bool, seconds: float = 4.0, lines: int = 8) -> tuple[float, float]:
     """Set-ups a second, and a second of the router's processor time; viewers ask, hear, end and ask again."""
-    from cloverhinge.lab.stand import SETTINGS, ChangeLog, Pump, Wire, answer
-
-    class Quick(Pump):
-        def serve(self, wire: Wire) -> None:
-            while message := wire.read():
-                if message.start.startswith("SETUP"):
-                    wire.send("RTSP/1.0 200 OK", message.session, body=b"made")
-                elif message.start.startswith("OPTIONS"):
-                    wire.send("RTSP/1.0 200 OK", message.session, 3, X_Circuits=self.load)
+    from cloverhinge.lab.stand import SETTINGS, ChangeLog, Quick, Wire, answer
 
     pumps, log = [Quick(f"s-{n:08x}", n) for n in range(2)], ChangeLog()
     with tempfile.TemporaryDirectory() as name:
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -26,7 +26,7 @@
 from cloverhinge.emulator.routers import World
 from cloverhinge.lab import checks, schedule
 from cloverhinge.lab.rig import rig
-from cloverhinge.lab.stand import ChangeLog, Program, Pump, Wire, answer, ask
+from cloverhinge.lab.stand import ChangeLog, Program, Quick, Wire, answer, ask
 
 Rows = list[dict[str, object]]
 OPTIMIZED = ("-O", "-m", "cloverhinge")
@@ -159,17 +159,6 @@
     return rows
 
 
-class Quick(Pump):
-    """Answers set-ups and questions at once, keeps nothing."""
-
-    def serve(self, wire: Wire) -> None:
-        while message := wire.read():
-            if message.start.startswith("SETUP"):
-                wire.send("RTSP/1.0 200 OK", message.session, body=b"made")
-            elif message.start.startswith("OPTIONS"):
-                wire.send("RTSP/1.0 200 OK", message.session, 3, X_Circuits=self.load)
-
-
 def load(where: tuple[str, int], process: int, seconds: float = 6.0, lines: int = 4) -> dict[str, float]:
     """Viewers in a closed loop; the pace by the router's own processor time tells most."""
     took: list[float] = []
--- a/cloverhinge/lab/stand.py
+++ b/cloverhinge/lab/stand.py
@@ -151,6 +151,17 @@
                 "cell": self.cell, "lifecycle": state, "weight": 1, "startedAtMs": 0}
 
 
+class Quick(Pump):
+    """Answers set-ups and questions at once, keeps nothing."""
+
+    def serve(self, wire: Wire) -> None:
+        while message := wire.read():
+            if message.start.startswith("SETUP"):
+                wire.send("RTSP/1.0 200 OK", message.session, body=b"made")
+            elif message.start.startswith("OPTIONS"):
+                wire.send("RTSP/1.0 200 OK", message.session, 3, X_Circuits=self.load)
+
+
 class ChangeLog(Listener):
     def __init__(self) -> None:
         self.events: list[dict[str, Any]] = []
--- a/cloverhinge/members/core.py
+++ b/cloverhinge/members/core.py
@@ -9,6 +9,7 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 
@@ -49,6 +50,7 @@
 REPLIES_S = 200.0  # answers a second to those who are not known: they may be forged or replayed
 PROVEN_MS = 3000.0  # for so long an answer lets its sender's word on others count
 PROVEN_MOST = 256  # runs, and welcomes sent, that are remembered for that
+HELLOS_MOST = 128  # questions out to strangers: two rounds to the most addresses that may be named
 TWINS = 3  # times that one other run takes this name back before it counts as living
 SHUT_MS = 5000.0  # a router whose name is taken asks again after so long
 
@@ -145,6 +147,12 @@
     differs_ms: float | None = None  # since when its view has been another one
 
 
+def trim(table: OrderedDict[int, Any], most: int) -> None:
+    """The oldest entries give way."""
+    while len(table) > most:
+        table.popitem(last=False)
+
+
 class Members:
     """One router's membership.  `run` tells its starts apart, `seed` spreads its timers."""
 
@@ -168,7 +176,7 @@
         self._out: list[Action] = []
         self._number = 0
         self._started_ms = self._last_ms = self._hello_ms = self._ask_ms = self._published_ms = 0.0
-        self._hellos: OrderedDict[int, tuple[float, Address]] = OrderedDict()
+        self._hellos: OrderedDict[int, Address] = OrderedDict()  # by nonce, whom it asked
         self._next_slice = ""
         self._facts: bytes | None = None  # waiting for its turn
         self._strangers = 0.0
@@ -178,7 +186,6 @@
         self._rewatch = False
         self._urgent = False
         self._least = 1  # the incarnation to begin with
-        self._seen_self = False  # somebody who is a member has told what it holds of this name
         self._twin_at: Address | None = None
         self._taken_by, self._taken_back = 0, 0  # a run that claims this name again and again
         self._twin_told = 0  # the run of that name that the log has told of
@@ -249,7 +256,7 @@
     def due(self, now: float) -> list[Action]:
         self._wake(now)
         if self.left:
-            for name in self.random.sample(self._farewell, min(FAN, len(self._farewell))):
+            for name in self._some(self._farewell):
                 self._send(self.table.records[name], News(news=[self.own]))
             return self._done()
         if not self.joined:
@@ -264,7 +271,7 @@
             self._publish_facts(now)
         if now >= self._hello_ms:
             self._hello_ms = now + HELLO_MS * self.random.uniform(0.8, 1.2)
-            self._say_hello(now)
+            self._say_hello()
         if self._urgent:
             self._urgent = False
             self._spread()
@@ -346,7 +353,7 @@
         self._out.append(Away(late))
         if late >= AWAY_TOLD_MS:
             self._out.append(Say(f"this process slept for {late:.0f} ms: nobody is accused of that time"))
-        for name in self.random.sample(sorted(self.watches), min(FAN, len(self.watches))):
+        for name in self._some(sorted(self.watches)):
             self._whole(now, self.table.records[name])
 
     def _asking(self, now: float) -> bool:
@@ -382,7 +389,7 @@
             if now < self.shut_until_ms:
                 return
             if not message.joined or message.own is None:
-                self._starting.add(asked[1])
+                self._starting.add(asked)
                 if self._starting.issuperset(self.join) and self._twin_at is None:
                     self._enter(now)  # all start at once: nobody is there to be asked
                 return
@@ -391,7 +398,7 @@
                     and held.run != self.run):
                 if self._twin_at is None:  # does whoever has this name still live there?
                     self._twin_at, self._twin_until_ms = held.address, now + JOIN_MS
-                    self._hello_to(now, held.address)
+                    self._hello_to(held.address)
                 return
             if self._twin_at is None:
                 self._enter(now)
@@ -419,7 +426,7 @@
         self._dirty, self._reached, self._lost, self._accused = True, {self.name}, set(), set()
         self._out.append(Voided(0, "its name is another's"))
 
-    def _say_hello(self, now: float) -> None:
+    def _say_hello(self) -> None:
         """To the seeds while joining; then to one address by lot of those that are not members now."""
         if not self.joined:
             targets = list(self.join)
@@ -433,13 +440,12 @@
             if targets and targets[0] in gone:  # it may hear, and not be heard: then it learns of it
                 self._send(gone[targets[0]], News(news=[gone[targets[0]]]))
         for address in targets:
-            self._hello_to(now, address)
+            self._hello_to(address)
 
-    def _hello_to(self, now: float, address: Address) -> None:
+    def _hello_to(self, address: Address) -> None:
         nonce = self.random.getrandbits(62)
-        self._hellos[nonce] = now, address
-        while len(self._hellos) > 128:  # two rounds to the most addresses that may be named
-            self._hellos.popitem(last=False)
+        self._hellos[nonce] = address
+        trim(self._hellos, HELLOS_MOST)
         self._put(Send(address, Hello(nonce=nonce, host=self.address[0], port=self.address[1])), 0)
 
     def _stranger(self, now: float, message: wire.Told) -> None:
@@ -459,8 +465,7 @@
                 nonce=message.nonce, joined=self.joined, own=self.own if self.joined else None,
                 yours=self.table.records.get(message.sender) if self.joined else None))
             self._welcomes[self._number] = message.run
-            while len(self._welcomes) > PROVEN_MOST:
-                self._welcomes.popitem(last=False)
+            trim(self._welcomes, PROVEN_MOST)
         elif not isinstance(message, Stray | Welcome):
             self.counters.stray += 1
             self._reply(message, Stray(of=message.number))
@@ -470,7 +475,7 @@
         watch, record = self.watches.get(message.sender), self.table.records.get(message.sender)
         if watch is None or record is None or message.of not in watch.asked or record.run == message.run:
             return
-        self._hello_to(now, record.address)
+        self._hello_to(record.address)
         while not watch.refusing:
             watch.refused(now)
         self._look(now)
@@ -481,8 +486,7 @@
         window = self.windows.get(message.run)
         if window is None:
             window = self.windows[message.run] = Window()
-            while len(self.windows) > WINDOWS:
-                self.windows.popitem(last=False)
+            trim(self.windows, WINDOWS)
         else:
             self.windows.move_to_end(message.run)
         return window.take(message.number)
@@ -491,8 +495,7 @@
         """Both directions to that run work, so its word counts for a while."""
         self._proven.pop(run, None)
         self._proven[run] = now + PROVEN_MS
-        while len(self._proven) > PROVEN_MOST:
-            self._proven.popitem(last=False)
+        trim(self._proven, PROVEN_MOST)
 
     def _merge(self, now: float, message: Ping | Ack | Ask | News) -> None:
         """Who hears nobody holds all others for dead: his word on that is taken only where he is heard."""
@@ -613,9 +616,11 @@
         watched, watching = self._pair(self.name)
         return sorted(watched | watching)
 
+    def _some(self, names: list[str]) -> list[str]:
+        return self.random.sample(names, min(FAN, len(names)))
+
     def _spread(self) -> None:
-        near = self._neighbours()
-        for name in self.random.sample(near, min(FAN, len(near))):
+        for name in self._some(self._neighbours()):
             news = self._news()
             if news:
                 self._send(self.table.records[name], News(news=news))
@@ -695,10 +700,9 @@
                 watch.knocking = True
                 watch.next_knock_ms = now + KNOCK_MS
                 self.counters.knocks += 1
-                self._number += 1
+                ping = Ping(digest=self.table.digest)
+                self._address(ping, record.run)
                 watch.sent(self._number, now)
-                ping = Ping(sender=self.name, run=self.run, to=record.run, number=self._number,
-                            digest=self.table.digest)
                 self._out.append(Knock(name, record.run, record.address, ping))
         for name in list(self._accused):
             known = self.known[name]
@@ -791,10 +795,12 @@
     def _reply(self, message: wire.Told, answer: Message) -> None:
         self._put(Send(None, answer), message.run)
 
-    def _put(self, send: Send, run: int) -> None:
+    def _address(self, message: Message, run: int) -> None:
         self._number += 1
-        message = send.message
         message.sender, message.run, message.to, message.number = self.name, self.run, run, self._number
+
+    def _put(self, send: Send, run: int) -> None:
+        self._address(send.message, run)
         self.counters.sent += 1
         self._out.append(send)
 
--- a/cloverhinge/members/link.py
+++ b/cloverhinge/members/link.py
@@ -178,7 +178,7 @@
         return {"view": view.number, "digest": f"{view.digest:016x}", "in": len(view.names),
                 "whole": view.whole, "majority": view.majority, "joined": members.joined,
                 "trusted": members.trusted, "list": rows, "counters": asdict(members.counters),
-                "refused": dict(self.troubles)}
+                "turned_away": members.table.turned_away, "refused": dict(self.troubles)}
 
     # The core's side
 
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -54,9 +54,9 @@
 def no_hello() -> None:
     hello = core.Members._say_hello
 
-    def only_joining(self: core.Members, now: float) -> None:
+    def only_joining(self: core.Members) -> None:
         if not self.joined:
-            hello(self, now)
+            hello(self)
 
     core.Members._say_hello = only_joining  # type: ignore[method-assign]
 
