Custody on the modelled network: rosters begin anew safely, a run of writes is told apart

Under random kills, pauses, cuts and losses a router that had handed a record over claimed it as new: its own earlier ballot let the write pass (register.accept). A run of writes now carries its first ballot, and only what was written since passes. Two routers that started while cut off formed rosters of their own: the number of the installation's routers is told, and a router that others remember has no voice in a first roster.

--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -47,7 +47,7 @@
 
     keepers: int = 2  # losses that a record is to bear, and so one more holds a copy
     lease_ms: float = 1500.0
-    routers: int = 0
+    routers: int = 1  # that the installation has
     lasts_ms: float = 60_000.0  # an answer that stays is kept for so long
     hole_ms: float = 60_000.0  # what was lost is unknown for so long
 
@@ -134,18 +134,21 @@
 
 @dataclass(slots=True)
 class Held:
-    """A record that this router owns; `base` is the last ballot of its that is known to be the newest."""
+    """A record that this router owns.
+
+    `base` is the last ballot that is known to be the newest, `since` its first own one since it has it.
+    """
 
     id: str
     work: Work
     ballot: Ballot
     base: Ballot
+    since: Ballot
     keepers: tuple[str, ...]
     written: set[str] = field(default_factory=set)
     sent_ms: float = 0.0
     pause_ms: float = RESEND_MS
     to: str = ""  # to whom it is being handed
-    since_ms: float = 0.0
 
 
 class Stage(Enum):
@@ -188,7 +191,7 @@
         self.peers: dict[str, Peer] = {self.who: Peer(own)}
         self.alive: dict[str, Member] = {self.who: own}  # as membership has it
         self.runs: dict[str, int] = {own.name: own.run}
-        self.whole = 1
+        self.lived_before = False
         self.room: Mapping[str, float] = {}
         self.held: dict[str, Held] = {}
         self.tries: dict[str, Try] = {}
@@ -236,11 +239,11 @@
 
     # Events
 
-    def view(self, now: float, members: Iterable[Member], whole: int, room: Mapping[str, float]) -> None:
+    def view(self, members: Iterable[Member], lived_before: bool, room: Mapping[str, float]) -> None:
         """Membership has changed, or what is known of the members' room."""
         self.alive = {x.who: x for x in members}
         self.runs = {x.name: x.run for x in self.alive.values()}
-        self.whole, self.room = whole, room
+        self.lived_before, self.room = lived_before, room
         for who, member in self.alive.items():
             if who not in self.peers:
                 self.peers[who] = Peer(member)
@@ -397,10 +400,10 @@
             case wire.RosterWrite():
                 self._reply(who, self.rosters.write(item))
             case wire.RosterPromised():
-                for to, ask in self.rosters.promised(now, who, item, self.runs, self.whole):
+                for to, ask in self.rosters.promised(now, who, item, self.runs):
                     self._to(to, ask)
             case wire.RosterWritten():
-                decided = self.rosters.written(who, item, self.runs, self.whole)
+                decided = self.rosters.written(who, item, self.runs)
                 if decided is not None:
                     self._enter(now, decided)
             case wire.RosterRefused():
@@ -489,7 +492,9 @@
     def _change_rosters(self, now: float) -> None:
         wanted = () if self.leaving else tuple(sorted(
             x for who, x in self.alive.items() if self._takes_part(who, now)))
-        for to, item in self.rosters.due(now, wanted, self.runs, self.whole, self._settled):
+        fresh = not self.lived_before or len(wanted) >= self.rules.routers and all(
+            self.peers[x.who].lineage == 0 for x in wanted)
+        for to, item in self.rosters.due(now, wanted, self.runs, self._settled, fresh):
             self._to(to, item)
         if self.rosters.stuck != self._stuck:
             self._stuck = self.rosters.stuck
@@ -520,6 +525,7 @@
             self._enter(now, roster)
             for one in self.held.values():
                 one.base, one.ballot = NONE, above(NONE, roster.number, self.who)
+                one.since = one.ballot
 
     def _enter(self, now: float, roster: Roster) -> None:
         self.rosters.enter(now, roster)
@@ -607,8 +613,8 @@
     def _own(self, now: float, attempt: Try) -> None:
         work = attempt.work
         assert work is not None
-        held = Held(attempt.id, work, attempt.ballot, attempt.ballot, attempt.keepers, sent_ms=now,
-                    since_ms=now)
+        held = Held(attempt.id, work, attempt.ballot, attempt.ballot, attempt.ballot, attempt.keepers,
+                    sent_ms=now)
         if attempt.reason == "keep" and (was := self.held.get(attempt.id)) is not None:
             held.to = was.to
         held.written = {x for x, generation in attempt.written.items()
@@ -626,7 +632,7 @@
     def _send_to_keepers(self, now: float, held: Held) -> None:
         held.sent_ms = now
         self._unwritten[held.id] = None
-        write = wire.Write(held.id, held.ballot, held.base, held.work)
+        write = wire.Write(held.id, held.ballot, held.base, held.since, held.work)
         for who in held.keepers:
             if who not in held.written:
                 self._to(who, write)
@@ -689,8 +695,9 @@
         if given.id in self._gifts and self._gifts[given.id][1].ballot >= given.ballot:
             return  # it has been here, and was handed on
         self.counters.received += 1
-        self.held[given.id] = Held(given.id, given.work, given.ballot, given.ballot, self.keepers(given.id),
-                                   since_ms=now, sent_ms=-1e12)
+        since = given.ballot[0] + 1, self.who
+        self.held[given.id] = Held(given.id, given.work, given.ballot, given.ballot, since,
+                                   self.keepers(given.id), sent_ms=-1e12)
         self._unwritten[given.id] = None
         self._out.append(Took(given.id, given.work, None))
         attempt = self.tries.pop(given.id, None)
@@ -757,7 +764,7 @@
         else:
             assert attempt.work is not None
             base = NONE if attempt.stage is Stage.CLAIM else attempt.ballot
-            ask = wire.Write(attempt.id, attempt.ballot, base, attempt.work)
+            ask = wire.Write(attempt.id, attempt.ballot, base, attempt.ballot, attempt.work)
             answered = attempt.written.keys() | attempt.refusals.keys()
         for who in attempt.keepers:
             if who not in answered:
--- a/cloverhinge/custody/keeper.py
+++ b/cloverhinge/custody/keeper.py
@@ -61,7 +61,7 @@
             return wire.Refused(told.id, told.ballot, Why.FULL)
         if slot is EMPTY and hole and told.base == register.NONE:
             return wire.Refused(told.id, told.ballot, Why.HOLE)
-        after, reply = register.accept(slot, told.ballot, told.work, told.base)
+        after, reply = register.accept(slot, told.ballot, told.work, told.base, told.since)
         if isinstance(reply, register.Accepted):
             was = register.owned(slot.work)
             self._put(now, told.id, after)
--- a/cloverhinge/custody/register.py
+++ b/cloverhinge/custody/register.py
@@ -95,17 +95,20 @@
     return replace(slot, promised=ballot), Promise(ballot, slot.accepted, slot.work)
 
 
-def accept(slot: Slot, ballot: Ballot, work: Work, base: Ballot | None = None) -> tuple[Slot, Reply]:
+def accept(slot: Slot, ballot: Ballot, work: Work, base: Ballot | None = None,
+           since: Ballot | None = None) -> tuple[Slot, Reply]:
     """A ballot that was promised to another is void; one that was never asked about counts as promised.
 
     With `base`, a ballot under which the proposer knows the newest value (the last that was chosen, or that a
     majority promised; NONE: it takes the record to be new), it is written without asking first.  Then a
     keeper takes it only where nobody but this proposer has come since: any other ballot between the two would
-    need a promise of a majority, and so of one of these keepers.
+    need a promise of a majority, and so of one of these keepers.  `since` is the first ballot of the
+    proposer's present run of writes: what it wrote before may have been another's in between.
     """
-    own = slot.promised == slot.accepted and slot.accepted[1] == ballot[1]
-    since = slot.promised <= (ballot if base is None else base) or own
-    if not since or ballot < slot.promised or ballot == slot.accepted and work != slot.work:
+    own = (since is not None and slot.promised == slot.accepted and slot.accepted[1] == ballot[1]
+           and slot.accepted >= since)
+    free = slot.promised <= (ballot if base is None else base) or own
+    if not free or ballot < slot.promised or ballot == slot.accepted and work != slot.work:
         return slot, Denied(ballot, slot.promised)
     return Slot(ballot, ballot, work), Accepted(ballot)
 
--- a/cloverhinge/custody/rosters.py
+++ b/cloverhinge/custody/rosters.py
@@ -3,8 +3,11 @@
 The next roster is decided as one decree of Paxos (Lamport 1998) by the members of the present one.  A member
 that learns of it votes no more in the old one, tells the new members what it holds, and a new member votes
 once all `sources` have told.  Members who can't tell leave a hole: records that may have been lost with them
-are unknown for as long as a record could have lasted.  The first roster is agreed on by a majority of the
-routers that the installation has.
+are unknown for as long as a record could have lasted.
+
+The first roster is agreed on by a majority of the routers that the installation has.  A router that others
+remember from an earlier run knows that there was one: it has a voice in a first one only where all routers
+of the installation are here and none has any.
 """
 
 from __future__ import annotations
@@ -42,13 +45,15 @@
 
 class Rosters:
     def __init__(self, own: Member, routers: int, hole_ms: float, seed: int) -> None:
-        """`routers`: how many the installation has; 0 where that is not told: those that members know of."""
+        """`routers`: how many the installation has."""
         self.own, self.routers, self.hole_ms = own, routers, hole_ms
         self.random = random.Random(seed)
         self.roster: Roster | None = None
         self.heard_from: set[str] = set()  # sources that have told all
         self.active_ms: float | None = None  # since when this one votes
         self.changes = 0
+        self.fresh = False
+        self.gone = False  # no member of the roster is left
         self.stuck = ""  # why no next roster can be had
         self._promised: Ballot = NONE
         self._accepted: Ballot = NONE
@@ -78,28 +83,36 @@
     def active(self) -> bool:
         return self.active_ms is not None
 
-    def quorum(self, votes: Collection[str], runs: Mapping[str, int], whole: int) -> bool:
+    def quorum(self, votes: Collection[str], runs: Mapping[str, int]) -> bool:
         """Whether these decide the next roster.
 
         Either more than half of the present one's members; or all of them but those in whose place another
-        run of their name stands (`runs`): those are gone, and can vote for nothing else.
+        run of their name stands (`runs`): those are gone, and can vote for nothing else.  Where all are gone
+        nothing of it is remembered, and a majority of the installation's routers begins anew.
         """
-        if self.roster is None:
-            return len(votes) >= majority(max(self.routers, whole, 1))
+        if self.roster is None or self._gone(runs):
+            return len(votes) >= majority(self.routers)
         members = self.roster.members
         if 2 * len(votes) > len(members):
             return True
         return bool(votes) and all(x.who in votes or runs.get(x.name, x.run) != x.run for x in members)
 
+    def _gone(self, runs: Mapping[str, int]) -> bool:
+        return self.roster is not None and all(runs.get(x.name, x.run) != x.run for x in self.roster.members)
+
     # Proposing
 
-    def due(self, now: float, wanted: tuple[Member, ...], runs: Mapping[str, int], whole: int,
-            settled: bool) -> To:
-        """`wanted`: routers that take part now, in order; `settled`: all of the roster are known to vote."""
+    def due(self, now: float, wanted: tuple[Member, ...], runs: Mapping[str, int], settled: bool,
+            fresh: bool) -> To:
+        """`wanted`: routers that take part now, in order; `settled`: all of the roster are known to vote;
+        `fresh`: nobody remembers this one, or all are here and have no roster."""
+        self.fresh = fresh
         for hole in [x for x, since in self._holes.items() if now - since > self.hole_ms]:
             del self._holes[hole]
         held = () if self.roster is None else self.roster.members
-        if wanted == held or self.own not in wanted or self.roster is not None and not self.member:
+        self.gone = self._gone(runs)
+        begins = fresh if self.roster is None else self.member or self.gone
+        if wanted == held or self.own not in wanted or not begins:
             self._since_ms, self._draft, self.stuck = None, None, ""
             return []
         if wanted != self._wanted:
@@ -109,9 +122,11 @@
         draft = self._draft
         if draft is not None and now - draft.begun_ms < TRY_MS:
             return self._send(now, draft) if now - draft.sent_ms >= RESEND_MS else []
-        voters = [x.who for x in wanted if self.roster is None or x in held]
-        if not self.quorum(voters, runs, whole):
-            needed = max(self.routers, whole, 1) if self.roster is None else len(held)
+        voters = [x.who for x in wanted if self.roster is None or self.gone or x in held]
+        if not self.quorum(voters, runs):
+            if now - self._since_ms < SETTLE_MS:
+                return []
+            needed = self.routers if self.roster is None or self.gone else len(held)
             self.stuck = f"{len(voters)} of {needed} routers are here, too few to keep work"
             self._draft = None
             return []
@@ -137,7 +152,8 @@
         return Roster(roster.lineage, roster.number + 1, wanted, sources, tuple(holes[-HOLES_MOST:]))
 
     def _electors(self) -> list[str]:
-        return [x.who for x in (self._wanted if self.roster is None else self.roster.members)]
+        return [x.who for x in (
+            self._wanted if self.roster is None or self.gone else self.roster.members)]
 
     def _send(self, now: float, draft: Draft) -> To:
         draft.sent_ms = now
@@ -152,6 +168,8 @@
     def asked(self, ask: wire.RosterAsk) -> wire.Items | None:
         if ask.number != self.number:
             return None if self.roster is None or ask.number > self.number else wire.Known(self.roster)
+        if self.roster is None and not self.fresh:
+            return None
         if ask.ballot <= self._promised:
             return wire.RosterRefused(ask.number, ask.ballot, self._promised)
         if ask.ballot[1] != self.own.who:
@@ -162,6 +180,8 @@
     def write(self, told: wire.RosterWrite) -> wire.Items | None:
         if told.number != self.number:
             return None if self.roster is None or told.number > self.number else wire.Known(self.roster)
+        if self.roster is None and not self.fresh:
+            return None
         if told.ballot < self._promised:
             return wire.RosterRefused(told.number, told.ballot, self._promised)
         self._promised = self._accepted = told.ballot
@@ -169,19 +189,19 @@
         return wire.RosterWritten(told.number, told.ballot)
 
     def promised(self, now: float, who: str, told: wire.RosterPromised, runs: Mapping[str, int],
-                 whole: int) -> To:
+                 ) -> To:
         draft = self._draft
         if (draft is None or told.number != self.number or told.ballot != draft.ballot
                 or draft.writing is not None or who not in self._electors()):
             return []
         draft.promises[who] = told.accepted, told.value
-        if not self.quorum(draft.promises, runs, whole):
+        if not self.quorum(draft.promises, runs):
             return []
         newest = max(draft.promises.values(), key=lambda x: x[0])
         draft.writing = newest[1] or draft.value
         return self._send(now, draft)
 
-    def written(self, who: str, told: wire.RosterWritten, runs: Mapping[str, int], whole: int,
+    def written(self, who: str, told: wire.RosterWritten, runs: Mapping[str, int],
                 ) -> Roster | None:
         """The next roster, once it is decided."""
         draft = self._draft
@@ -189,7 +209,7 @@
                 or told.ballot != draft.ballot or who not in self._electors()):
             return None
         draft.written.add(who)
-        return draft.writing if self.quorum(draft.written, runs, whole) else None
+        return draft.writing if self.quorum(draft.written, runs) else None
 
     def refused(self, told: wire.RosterRefused) -> None:
         if self._draft is not None and told.ballot == self._draft.ballot:
--- a/cloverhinge/custody/wire.py
+++ b/cloverhinge/custody/wire.py
@@ -77,9 +77,12 @@
 
 
 class Write(Item, tag=3, frozen=True):
+    """`base` and `since`: see `register.accept`."""
+
     id: Id
     ballot: Ballot
     base: Ballot
+    since: Ballot
     work: Work
 
 
--- /dev/null
+++ b/cloverhinge/emulator/keeping.py
@@ -0,0 +1,218 @@
+"""Custody on the modelled network: routers with viewers and boxes in outline, and the promises checked.
+
+Boxes take set-ups after a delay and note who sent them; a viewer is a claim at one router, and comes again at
+another where it heard nothing.  What is checked holds for every schedule of kills, pauses, cuts and losses.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from cloverhinge.custody.core import TICK_MS, Action, Answer, Custody, Lost, Rules, Say, Took, Verdict
+from cloverhinge.custody.core import Send as SendTo
+from cloverhinge.custody.register import Phase
+from cloverhinge.custody.wire import Member
+from cloverhinge.emulator.network import Address
+from cloverhinge.emulator.routers import Router, World
+from cloverhinge.members import core
+from cloverhinge.members.wire import State
+
+BOX_MS = 80.0  # from a set-up's first byte to its answer
+CONNECT_MS = 5.0  # between the intent and the first byte
+WAIT_MS = 3000.0  # that a viewer waits
+
+
+@dataclass
+class Session:
+    """What the boxes know of one piece of work."""
+
+    sent: list[tuple[float, str]] = field(default_factory=list)  # when, and by which router's run
+    stands: bool = False
+    released: list[str] = field(default_factory=list)
+
+
+@dataclass
+class Fetch:
+    id: str
+    at: str
+    asked_ms: float
+    answer: str = ""  # 200, failed, refused
+    answered_ms: float = 0.0
+
+
+class Keeping(Router):
+    """A router with custody; `session` is what its front holds."""
+
+    world: Keepers
+    custody: Custody
+
+    def start(self) -> None:
+        super().start()
+        self.sessions: dict[str, str] = {}  # id to open or stands
+        self.asked: dict[int, Fetch] = {}
+        self.count = 0
+        self.seen: tuple[object, ...] = ()
+        own = Member(self.name, self.members.run, self.site)
+        rules = replace(self.world.rules_kept, routers=self.world.count)
+        self.custody = Custody(own, rules, self.members.run)
+        self.world.net.timer(self.process, self.world.net.random.uniform(0.0, TICK_MS), self._look)
+
+    @property
+    def now(self) -> float:
+        return self.world.net.now
+
+    def _look(self) -> None:
+        records = self.members.table.records
+        alive = tuple(Member(x.name, x.run, x.site) for x in records.values() if x.state is State.ALIVE)
+        if self.members.joined and (alive, self.members.lived_before) != self.seen:
+            self.seen = alive, self.members.lived_before
+            self.custody.view(alive, self.members.lived_before, {})
+        self.do(self.custody.due(self.now))
+        self.world.net.timer(self.process, TICK_MS, self._look)
+
+    def hear(self, carried: core.Carried) -> None:
+        record = self.members.table.records.get(carried.name)
+        site = "" if record is None else record.site
+        self.do(self.custody.heard(self.now, Member(carried.name, carried.run, site), carried.body))
+
+    def fetch(self, id: str, paid: bool = True) -> Fetch:
+        """A viewer comes here."""
+        fetch = Fetch(id, self.name, self.now)
+        self.world.fetches.append(fetch)
+        self.process.do(lambda: self._fetch(fetch, paid))
+        return fetch
+
+    def _fetch(self, fetch: Fetch, paid: bool) -> None:
+        if self.sessions.get(fetch.id) == "stands":
+            self.world.tell(fetch, "200")
+            return
+        self.count += 1
+        self.asked[self.count] = fetch
+        self.do(self.custody.claim(self.now, self.count, fetch.id, paid, b"", self.now + WAIT_MS))
+
+    def do(self, actions: list[Action]) -> None:
+        world = self.world
+        for action in actions:
+            match action:
+                case SendTo(to, body):
+                    self.act(self.members.carry(self.now, to.name, to.run, "custody", body))
+                case Answer(number, verdict, _):
+                    self._answer(self.asked.pop(number), verdict)
+                case Took(id, work, found):
+                    if work.phase is Phase.STANDS:
+                        self.sessions[id] = "stands"
+                    if found is not None and found.phase is Phase.INTENT and found.owner != work.owner:
+                        world.session(id).released.append(self.custody.who)
+                        world.session(id).stands = False
+                case Lost(id, _):
+                    self.sessions.pop(id, None)
+                case Say(text):
+                    self.said.append(text)
+
+    def _answer(self, fetch: Fetch, verdict: Verdict) -> None:
+        match verdict:
+            case Verdict.NEW:
+                if fetch.id in self.sessions:  # under way for an earlier fetch: it waits with that one
+                    self.world.waiting.setdefault((self.custody.who, fetch.id), []).append(fetch)
+                else:
+                    self.sessions[fetch.id] = "open"
+                    self.world.waiting[self.custody.who, fetch.id] = [fetch]
+                    self.world.net.timer(self.process, CONNECT_MS, lambda: self._send(fetch.id))
+            case Verdict.TAKEN:
+                self.world.tell(fetch, "200")
+            case Verdict.FINAL:
+                self.world.tell(fetch, "failed")
+            case _:
+                self.world.tell(fetch, "refused")
+
+    def _send(self, id: str) -> None:
+        """The connection to the box stands: the last look before the first byte."""
+        if self.sessions.get(id) != "open" or not self.custody.may_act(id, self.now):
+            if self.sessions.get(id) == "open":
+                del self.sessions[id]
+            for fetch in self.world.waiting.pop((self.custody.who, id), []):
+                self.world.tell(fetch, "refused")
+            return
+        session = self.world.session(id)
+        session.sent.append((self.now, self.custody.who))
+        # The box takes it whatever becomes of the router, which may hear of it late.
+        self.world.net.at(BOX_MS / 2, lambda: setattr(session, "stands", not session.released))
+        self.world.net.timer(self.process, BOX_MS, lambda: self._stands(id))
+
+    def _stands(self, id: str) -> None:
+        if self.sessions.get(id) != "open":
+            return
+        if not self.custody.may_act(id, self.now):
+            self.world.net.timer(self.process, TICK_MS, lambda: self._stands(id))
+            return
+        self.sessions[id] = "stands"
+        self.do(self.custody.update(self.now, id, Phase.STANDS, b""))
+        for fetch in self.world.waiting.pop((self.custody.who, id), []):
+            self.world.tell(fetch, "200")
+
+
+@dataclass
+class Keepers(World):
+    """`count` routers that keep each other's work."""
+
+    rules_kept: Rules = field(default_factory=Rules)
+    sessions: dict[str, Session] = field(default_factory=dict)
+    fetches: list[Fetch] = field(default_factory=list)
+    waiting: dict[tuple[str, str], list[Fetch]] = field(default_factory=dict)
+
+    def make(self, name: str, site: str, address: Address, join: tuple[Address, ...]) -> Router:
+        return Keeping(self, name, site, address, join)
+
+    @property
+    def keepers(self) -> list[Keeping]:
+        return [x for x in self.routers if isinstance(x, Keeping)]
+
+    def tell(self, fetch: Fetch, answer: str) -> None:
+        fetch.answer, fetch.answered_ms = answer, self.net.now
+
+    def session(self, id: str) -> Session:
+        return self.sessions.setdefault(id, Session())
+
+    @property
+    def rostered(self) -> bool:
+        """All that run hold one roster of just them, and vote."""
+        here = [x for x in self.keepers if x.running]
+        rosters = [x.custody.rosters for x in here]
+        names = sorted(x.name for x in here)
+        return all(x.roster is not None and x.active and [m.name for m in x.roster.members] == names
+                   and x.roster == rosters[0].roster for x in rosters)
+
+    def until_rostered(self, most_ms: float = 20_000.0) -> float:
+        begun = self.net.now
+        while not self.rostered:
+            if self.net.now - begun > most_ms:
+                raise AssertionError("\n".join(
+                    f"{x.name}: {x.custody.rosters.roster} {x.custody.rosters.active} {x.said[-3:]}"
+                    for x in self.keepers if x.running))
+            self.net.run(25.0)
+        return self.net.now - begun
+
+    def owners(self, id: str) -> list[str]:
+        return [x.name for x in self.keepers if x.running and x.sessions.get(id) == "stands"]
+
+    def broken(self) -> list[str]:
+        """Promises on paid work that do not hold, for the record so far."""
+        found = []
+        for id, session in self.sessions.items():
+            if len(session.sent) > 1:
+                found.append(f"{id} was set up {len(session.sent)} times: {session.sent}")
+        failed: dict[str, float] = {}
+        for fetch in sorted(self.fetches, key=lambda x: x.answered_ms):
+            if fetch.answer == "failed":
+                failed.setdefault(fetch.id, fetch.answered_ms)
+            elif fetch.answer == "200" and fetch.asked_ms > failed.get(fetch.id, 1e18):
+                found.append(f"{fetch.id} had failed at {failed[fetch.id]:.0f} and was served to a viewer "
+                             f"who came at {fetch.asked_ms:.0f}")
+            elif fetch.answer == "200" and not self.session(fetch.id).sent:
+                found.append(f"{fetch.id} was answered and never set up")
+        return found
+
+    def unowned(self) -> list[str]:
+        """Sessions that stand at a box and have no owner, or two, among those that run."""
+        return [f"{id}: {self.owners(id)}" for id, session in self.sessions.items()
+                if session.stands and len(self.owners(id)) != 1]
--- a/cloverhinge/emulator/routers.py
+++ b/cloverhinge/emulator/routers.py
@@ -53,6 +53,9 @@
     def kill(self) -> None:
         self.process.alive = False
 
+    def hear(self, carried: core.Carried) -> None:
+        """For the parts that a world builds on membership."""
+
     def act(self, actions: list[core.Action], back: Address | None = None, through: bool = False) -> None:
         net = self.world.net
         for action in actions:
@@ -72,6 +75,8 @@
                     self.voided.append(action)
                 case core.Say():
                     self.said.append(action.text)
+                case core.Carried():
+                    self.hear(action)
 
     def carry(self, to: Address, body: bytes, reliable: bool = False) -> None:
         self.world.net.send(self.address, to, wire.HEAD + len(body),
@@ -110,9 +115,12 @@
         self.net = Network(self.seed)
         addresses = [(f"127.1.{n // 250}.{n % 250 + 1}", 7000) for n in range(self.count)]
         join = tuple(addresses[:3])
-        self.routers = [Router(self, f"r{n:03d}", f"s{n % self.sites}", address, join)
+        self.routers = [self.make(f"r{n:03d}", f"s{n % self.sites}", address, join)
                         for n, address in enumerate(addresses)]
 
+    def make(self, name: str, site: str, address: Address, join: tuple[Address, ...]) -> Router:
+        return Router(self, name, site, address, join)
+
     def start_known(self) -> None:
         """As after a long quiet time: all know all, and have just been heard."""
         pairs = rings(tuple(sorted(x.name for x in self.routers)), self.rules.watch)
--- a/cloverhinge/members/core.py
+++ b/cloverhinge/members/core.py
@@ -19,6 +19,7 @@
 from cloverhinge.members.wire import (
     Ack,
     Ask,
+    Carry,
     Hello,
     Message,
     News,
@@ -117,7 +118,17 @@
     error: bool = False
 
 
-Action = Send | Knock | Away | Changed | Voided | Say
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """One run of a member's said this to a part that is built on membership."""
+
+    name: str
+    run: int
+    part: str
+    body: bytes
+
+
+Action = Send | Knock | Away | Changed | Voided | Say | Carried
 
 
 @dataclass(slots=True)
@@ -170,6 +181,7 @@
         self.own = Record(name, 1, run, State.ALIVE, 0, *address, site)
         self.joined = False
         self.left = False
+        self.lived_before = False  # others remember an earlier run of this name
         self.shut_until_ms = -1e12  # its name is taken until then
         self.asking_until_ms = -1e12  # after a pause: nobody is accused before
         self.heard_since_pause = True
@@ -242,6 +254,14 @@
         self._facts = facts if facts != self.own.facts else None
         return self._done()
 
+    def carry(self, now: float, name: str, run: int, part: str, body: bytes) -> list[Action]:
+        """Sends what a part says to that run of a member's; nothing where it is not known."""
+        self._wake(now)
+        record = self.table.records.get(name)
+        if record is not None and record.run == run:
+            self._send(record, Carry(part=part, body=body))
+        return self._done()
+
     def leave(self, now: float) -> list[Action]:
         """A planned end: the others are told now, and once more at each tick while it is called `due`."""
         self._wake(now)
@@ -281,7 +301,7 @@
         """A message that was signed as it has to be; `came` is where it came from, for the log."""
         self._wake(now)
         self.counters.received += 1
-        if message.run == self.run or self.left:
+        if message.run == self.run or self.left and not isinstance(message, Carry):
             return self._done()
         if message.to != self.run:
             self._stranger(now, message)
@@ -294,6 +314,8 @@
             self._twin(now, message.run, came)
             return self._done()
         match message:
+            case Carry():
+                self._out.append(Carried(message.sender, message.run, message.part, message.body))
             case Ping():
                 if self.joined:
                     self._reply(message, Ack(of=message.number, digest=self.table.digest, news=self._news()))
@@ -385,6 +407,7 @@
             return
         if message.yours is not None and message.yours.run != self.run:
             self._least = max(self._least, message.yours.incarnation + 1)
+            self.lived_before = True
         if not self.joined:
             if now < self.shut_until_ms:
                 return
@@ -519,6 +542,7 @@
         if told.run == self.run and told.state is State.ALIVE or told.incarnation < self.own.incarnation:
             return
         if told.run != self.run:
+            self.lived_before = True
             if told.state is State.ALIVE and told.address != self.address:
                 self._taken_back = self._taken_back + 1 if told.run == self._taken_by else 1
                 self._taken_by = told.run
--- a/cloverhinge/members/link.py
+++ b/cloverhinge/members/link.py
@@ -111,6 +111,7 @@
         self.random = random.Random(f"members {seed}")
         self.troubles: Counter[str] = Counter()
         self.watchers: list[Callable[[Event], None]] = []
+        self.hearers: dict[str, Callable[[core.Carried], None]] = {}  # by the part's key
         self.incoming = self.outgoing = 0
         self.members: core.Members
         self.address = site.advertise or site.listen
@@ -159,6 +160,10 @@
         self._act(self.members.awake(self.clock.now()), None)
         return self.members.trusted
 
+    def carry(self, name: str, run: int, part: str, body: bytes) -> None:
+        """What a part says to the same part of that run; it may be lost."""
+        self._act(self.members.carry(self.clock.now(), name, run, part, body), None)
+
     def told_to_end(self) -> None:
         self._act(self.members.leave(self.clock.now()), None)
 
@@ -222,6 +227,10 @@
                     self._send(action, back)
                 case core.Knock():
                     self._connect(action.to, self.seal.close(wire.encode(action.message)), action)
+                case core.Carried():
+                    hearer = self.hearers.get(action.part)
+                    if hearer is not None:
+                        hearer(action)
                 case core.Say():
                     tell = self.log.error if action.error else self.log.info
                     tell("{name}: members: {text}", name=self.name, text=action.text)
--- a/cloverhinge/members/wire.py
+++ b/cloverhinge/members/wire.py
@@ -114,7 +114,14 @@
     of: Number = 0
 
 
-Told = Ping | Ack | Hello | Welcome | Ask | News | Stray
+class Carry(Message, tag=8, kw_only=True):
+    """What a part built on membership says to the same part of another."""
+
+    part: Name = ""
+    body: bytes = b""
+
+
+Told = Ping | Ack | Hello | Welcome | Ask | News | Stray | Carry
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Told] = msgspec.msgpack.Decoder(Told)
