--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -27,12 +27,14 @@
 RESEND_MS, RESEND_MOST_MS = 50.0, 800.0  # each time after twice as long
 GRANT_SHARE = 0.9  # of a lease that its owner counts on: clocks may differ by a tenth before it errs
 RENEWALS = 3.0  # tries in a lease's time, so that two in a row may be lost
+HEARD = 2.0  # times a lease: who was not heard for so long takes no part
 BACKOFF_MS = 30.0  # at most, by lot, before a higher ballot
 ASK_AGAIN_MS = 50.0  # while a set-up that a viewer came for is under way at its owner
 HOLE_WAIT_MS = 400.0  # a keeper that lost others' memory waits so long for owners to write again
 BACKUP_MS = 1200.0  # the next keeper takes over what the first one should have
 LOOK_MS = 250.0  # between looks for records whose owner is gone
 ORPHANS_TICK = 25  # taken up in a tick: a thousand a second
+MORE_MS = 2000.0  # a keeper that knows of more records than their owner for so long is asked for them
 ORPHAN_MS = 5000.0  # for one try at such a record
 REWRITES_TICK = 100  # records written again in a tick: 4,000 a second
 HELD_MOST = 65_536  # records owned
@@ -92,6 +94,14 @@
     to: str
 
 
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What was written last of a record that this router owns is with its keepers."""
+
+    id: str
+    phase: Phase
+
+
 @dataclass(frozen=True, slots=True)
 class Closed:
     """The end of a record that this router owned is with its keepers."""
@@ -104,7 +114,7 @@
     text: str
 
 
-Action = Send | Answer | Took | Lost | Closed | Say
+Action = Send | Answer | Took | Lost | Kept | Closed | Say
 
 
 @dataclass(slots=True)
@@ -125,11 +135,14 @@
     lineage: int = 0
     number: int = 0
     active: bool = False
+    lived: bool = False
     leaving: bool = False
     generation: int = 0
     until_ms: float = -1e12  # of its lease for this router, by this router's clock
     asked: OrderedDict[int, float] = field(default_factory=OrderedDict)
     asked_ms: float = -1e12
+    more_ms: float | None = None  # since when it keeps more records as this router's than that knows of
+    after: str = ""  # which of them it was asked about last
 
 
 @dataclass(slots=True)
@@ -162,7 +175,7 @@
 @dataclass(slots=True)
 class Try:
     id: str
-    reason: str  # claim, orphan, keep
+    reason: str  # claim, orphan, keep, mine
     intent: Work
     until_ms: float
     numbers: list[int]
@@ -179,6 +192,7 @@
     found: Work | None = None
     owner: str = ""
     sent_ms: float = 0.0
+    pause_ms: float = RESEND_MS
 
 
 class Custody:
@@ -270,9 +284,7 @@
                 self._gifts[id] = to, given, now, until
                 self._to(to, given)
         for (who, part), (tell, sent) in list(self._tells.items()):
-            if who not in self.alive:
-                del self._tells[who, part]
-            elif now - sent >= 4 * RESEND_MS:
+            if who in self.alive and now - sent >= 4 * RESEND_MS:
                 self._tells[who, part] = tell, now
                 self._to(who, tell)
         return self._done(now)
@@ -290,7 +302,7 @@
         if attempt is not None:
             attempt.numbers.append(number)
             attempt.until_ms = max(attempt.until_ms, until_ms)
-            if attempt.reason == "orphan":
+            if attempt.reason in ("orphan", "mine"):
                 attempt.reason, attempt.intent = "claim", intent(self.who, paid, body)
         elif len(self.tries) >= TRIES_MOST or len(self.held) >= HELD_MOST:
             self.counters.unkept += 1
@@ -392,7 +404,7 @@
             case wire.Hi():
                 self._hi(now, who, item, roster)
             case wire.Granted():
-                self._granted(who, item)
+                self._granted(now, who, item)
             case wire.Lapsed():
                 self._lapsed(now, who, item)
             case wire.RosterAsk():
@@ -421,6 +433,10 @@
                 self._given(now, who, item)
             case wire.NotGiven():
                 self._not_given(now, item)
+            case wire.Mine():
+                self._mine(who, item.after)
+            case wire.Yours():
+                self._yours(now, who, item)
             case wire.Thanks():
                 gift = self._gifts.get(item.id)
                 if gift is not None and gift[0] == who and gift[1].ballot == item.ballot:
@@ -445,28 +461,57 @@
         peer.asked[self._seq] = now
         while len(peer.asked) > SENT_KEPT:
             peer.asked.popitem(last=False)
-        self._to(peer.member.who, wire.Hi(self._seq, peer.generation, self.rosters.active, self.leaving))
+        self._to(peer.member.who, wire.Hi(
+            self._seq, peer.generation, self.rosters.active, self.lived_before, self.leaving))
 
     def _hi(self, now: float, who: str, hi: wire.Hi, roster: tuple[int, int]) -> None:
         peer = self.peers[who]
-        peer.active, peer.leaving = hi.active, hi.leaving
+        peer.active, peer.lived, peer.leaving = hi.active, hi.lived, hi.leaving
         if who == self.who:
             peer.heard_ms, (peer.lineage, peer.number) = now, roster
         held = self.rosters.roster
         if held is not None and roster != self._roster and (
                 roster[0] != held.lineage or roster[1] < held.number):
             self._to(who, wire.Known(held))
-        if self.rosters.active:
+        if self.rosters.active and self._among_most(now):
             if self.keeper.renew(now, who, hi.generation):
-                self._to(who, wire.Granted(hi.seq, hi.generation))
+                owned = len(self.keeper.of_owner.get(who, ()))
+                self._to(who, wire.Granted(hi.seq, hi.generation, owned))
             else:
                 self._to(who, wire.Lapsed(hi.seq, self.keeper.generation(who)))
 
-    def _granted(self, who: str, told: wire.Granted) -> None:
+    def _granted(self, now: float, who: str, told: wire.Granted) -> None:
         peer = self.peers[who]
         sent = peer.asked.pop(told.of, None)
         if sent is not None and told.generation == peer.generation:
             peer.until_ms = max(peer.until_ms, sent + GRANT_SHARE * self.rules.lease_ms)
+        if told.owned <= self._count(who):
+            peer.more_ms = None
+        elif peer.more_ms is None:
+            peer.more_ms = now
+        elif now - peer.more_ms >= MORE_MS:
+            peer.more_ms = now
+            self._to(who, wire.Mine(peer.after))
+
+    def _count(self, who: str) -> int:
+        """Records of this router's that `who` should keep."""
+        return sum(1 for x in self.held.values() if who in x.keepers)
+
+    def _mine(self, who: str, after: str) -> None:
+        ids = sorted(x for x in self.keeper.of_owner.get(who, ()) if x > after)
+        self._to(who, wire.Yours(ids[:wire.MINE_MOST], len(ids) <= wire.MINE_MOST))
+
+    def _yours(self, now: float, who: str, told: wire.Yours) -> None:
+        """Kept as this router's, which may not know of it: a hand-over's word was lost."""
+        peer = self.peers[who]
+        peer.after = "" if told.last or not told.ids else told.ids[-1]
+        if not told.last:
+            peer.more_ms = now - MORE_MS
+        for id in told.ids:
+            if id not in self.held and id not in self.tries and id not in self._gifts \
+                    and len(self.tries) < TRIES_MOST // 2:
+                empty = Work(self.who, 1, Phase.INTENT, False)
+                self._try(now, Try(id, "mine", empty, now + ORPHAN_MS, [], False))
 
     def _lapsed(self, now: float, who: str, told: wire.Lapsed) -> None:
         """Another may have come to that keeper in between: all that it holds is written to it again."""
@@ -487,14 +532,15 @@
         peer = self.peers.get(who)
         if peer is None or who not in self.alive or peer.leaving:
             return False
-        return who == self.who or now - peer.heard_ms < 2.0 * self.rules.lease_ms
+        return who == self.who or now - peer.heard_ms < HEARD * self.rules.lease_ms
 
     def _change_rosters(self, now: float) -> None:
         wanted = () if self.leaving else tuple(sorted(
             x for who, x in self.alive.items() if self._takes_part(who, now)))
-        fresh = not self.lived_before or len(wanted) >= self.rules.routers and all(
+        lived = any(self.peers[x.who].lived for x in wanted)
+        fresh = not lived or len(wanted) >= self.rules.routers and all(
             self.peers[x.who].lineage == 0 for x in wanted)
-        for to, item in self.rosters.due(now, wanted, self.runs, self._settled, fresh):
+        for to, item in self.rosters.due(now, wanted, self.runs, self._settled, fresh, lived):
             self._to(to, item)
         if self.rosters.stuck != self._stuck:
             self._stuck = self.rosters.stuck
@@ -543,6 +589,8 @@
             self._tell(now, roster)
         for held in self.held.values():
             held.keepers, held.written = self.keepers(held.id), set()
+            if held.id not in self.tries:  # above what a hole leaves in doubt
+                held.ballot = above(held.ballot, roster.number, self.who)
             held.sent_ms, held.pause_ms = -1e12, RESEND_MS
             self._unwritten[held.id] = None
         for attempt in self.tries.values():
@@ -596,12 +644,23 @@
 
     # Keeping
 
+    def _among_most(self, now: float) -> bool:
+        """Whether most of the roster have been heard of late: the others may go on without those that have
+        not, and answer for what those keep.  A cut is seen as one, and followed by a roster, later than this.
+        """
+        roster = self.rosters.roster
+        if roster is None:
+            return False
+        heard = sum(x.who == self.who or now - self.peers[x.who].heard_ms < HEARD * self.rules.lease_ms
+                    for x in roster.members)
+        return 2 * heard > len(roster.members)
+
     def _vote(self, now: float, item: wire.Prepare | wire.Write, roster: tuple[int, int]) -> wire.Items:
         active = self.rosters.active_ms
-        if roster != self._roster or active is None:
+        if roster != self._roster or active is None or not self._among_most(now):
             return wire.Refused(item.id, item.ballot, Why.ROSTER)
-        hole = bool(self.rosters.holes) and item.id not in self.keeper.slots and any(
-            place.lost(item.id, x, self.rules.keepers + 1) for x in self.rosters.holes)
+        written = self.keeper.slots.get(item.id, register.EMPTY).accepted[0]
+        hole = any(place.lost(item.id, written, x, self.rules.keepers + 1) for x in self.rosters.holes)
         if isinstance(item, wire.Write):
             return self.keeper.write(now, item, hole)
         if hole and now - active < HOLE_WAIT_MS:
@@ -666,6 +725,8 @@
         elif not register.owned(held.work):
             self._forget(held.id)
             self._out.append(Closed(held.id))
+        else:
+            self._out.append(Kept(held.id, held.work.phase))
 
     def _forget(self, id: str) -> None:
         self.held.pop(id, None)
@@ -739,7 +800,8 @@
                     self._to(attempt.owner, wire.GiveMe(attempt.id))
                 else:
                     attempt.stage = Stage.WAIT
-        elif now - attempt.sent_ms >= RESEND_MS:
+        elif now - attempt.sent_ms >= attempt.pause_ms:
+            attempt.pause_ms = min(2.0 * attempt.pause_ms, 4.0 * RESEND_MS)
             self._ask(now, attempt)
 
     def _begin(self, now: float, attempt: Try) -> None:
@@ -752,7 +814,7 @@
         attempt.promises, attempt.refusals, attempt.written = {}, {}, {}
         attempt.stage = Stage.CLAIM if attempt.claims else Stage.ASK
         attempt.work = attempt.intent if attempt.claims else None
-        attempt.found, attempt.claims = None, False
+        attempt.found, attempt.claims, attempt.pause_ms = None, False, RESEND_MS
         self._ask(now, attempt)
 
     def _ask(self, now: float, attempt: Try) -> None:
@@ -792,12 +854,13 @@
                     self._lose(attempt.id, "" if found is None else found.owner)
                 return
             work = held.work
-        elif attempt.reason == "orphan" and (found is None or register.owned(found) in self.alive):
+        elif attempt.reason == "orphan" and (found is None or register.owned(found) in self.alive) \
+                or attempt.reason == "mine" and register.owned(found) != self.who:
             del self.tries[attempt.id]
             return
-        elif found is None and hole and attempt.intent.paid:
-            self.counters.unknown += 1
-            work = msgspec.structs.replace(attempt.intent, phase=Phase.FAILED)
+        elif hole and attempt.intent.paid and (found is None or found.phase is Phase.INTENT):
+            self.counters.unknown += 1  # more may have been known of it than is known now
+            work = msgspec.structs.replace(found or attempt.intent, phase=Phase.FAILED)
         elif attempt.reason == "orphan" and found is not None and not register.owned(found):
             work = found
         else:
@@ -824,7 +887,10 @@
         assert work is not None
         del self.tries[attempt.id]
         if attempt.reason == "keep":
-            latest = self.held[attempt.id].work
+            was = self.held.get(attempt.id)
+            if was is None:
+                return  # an earlier write of this router's was chosen meanwhile, and ended it
+            latest = was.work
             self._own(now, attempt)
             held = self.held[attempt.id]
             if latest != work:  # it has changed meanwhile
--- a/cloverhinge/custody/keeper.py
+++ b/cloverhinge/custody/keeper.py
@@ -7,6 +7,7 @@
 from sortedcontainers import SortedDict
 
 from cloverhinge.custody import register, wire
+from cloverhinge.custody.place import lowest
 from cloverhinge.custody.register import EMPTY, Ballot, Phase, Slot, Work
 from cloverhinge.custody.wire import Why
 
@@ -132,11 +133,6 @@
             self.leases[owner] = max(until, self.leases.get(owner, 0.0))
 
 
-def lowest(number: int) -> int:
-    """The least counter of ballots in a roster: above all that earlier rosters' could reach."""
-    return number << 20
-
-
 def intent(owner: str, paid: bool, body: bytes) -> Work:
     return Work(owner, 1, Phase.INTENT, paid, body)
 
--- a/cloverhinge/custody/place.py
+++ b/cloverhinge/custody/place.py
@@ -11,6 +11,11 @@
 from cloverhinge.custody.wire import Hole, Member
 
 
+def lowest(number: int) -> int:
+    """The least counter of ballots in a roster: above all that earlier rosters' could reach."""
+    return number << 20
+
+
 @lru_cache(maxsize=65536)
 def draw(record: str, who: str) -> float:
     """The same in every process: a number in (0, 1) of the pair."""
@@ -31,8 +36,13 @@
     return tuple(x.who for x in chosen)
 
 
-def lost(record: str, hole: Hole, count: int) -> bool:
-    """Whether so many of its keepers never told what they held that a majority may have known more."""
+def lost(record: str, written: int, hole: Hole, count: int) -> bool:
+    """Whether so many of its keepers never told what they held that a majority may have known more.
+
+    `written` is the counter of the newest ballot that is known; what was written since is known.
+    """
+    if written >= lowest(hole.number + 1):
+        return False
     those = keepers(record, hole.members, count)
     return len(set(those) & set(hole.missing)) >= majority(len(those))
 
--- a/cloverhinge/custody/rosters.py
+++ b/cloverhinge/custody/rosters.py
@@ -6,8 +6,8 @@
 are unknown for as long as a record could have lasted.
 
 The first roster is agreed on by a majority of the routers that the installation has.  A router that others
-remember from an earlier run knows that there was one: it has a voice in a first one only where all routers
-of the installation are here and none has any.
+remember from an earlier run knows that there was one: where one is present, a first roster needs all routers
+of the installation, none of them with a roster, and what was kept before is unknown.
 """
 
 from __future__ import annotations
@@ -52,7 +52,7 @@
         self.heard_from: set[str] = set()  # sources that have told all
         self.active_ms: float | None = None  # since when this one votes
         self.changes = 0
-        self.fresh = False
+        self.fresh, self.lived = False, False
         self.gone = False  # no member of the roster is left
         self.stuck = ""  # why no next roster can be had
         self._promised: Ballot = NONE
@@ -103,10 +103,11 @@
     # Proposing
 
     def due(self, now: float, wanted: tuple[Member, ...], runs: Mapping[str, int], settled: bool,
-            fresh: bool) -> To:
+            fresh: bool, lived: bool) -> To:
         """`wanted`: routers that take part now, in order; `settled`: all of the roster are known to vote;
-        `fresh`: nobody remembers this one, or all are here and have no roster."""
-        self.fresh = fresh
+        `lived`: some of them are remembered from an earlier run; `fresh`: none is, or all are here and have
+        no roster."""
+        self.fresh, self.lived = fresh, lived
         for hole in [x for x, since in self._holes.items() if now - since > self.hole_ms]:
             del self._holes[hole]
         held = () if self.roster is None else self.roster.members
@@ -140,15 +141,17 @@
     def _next(self, wanted: tuple[Member, ...], settled: bool) -> Roster:
         roster = self.roster
         if roster is None:
-            return Roster(self.random.getrandbits(62) + 1, 1, wanted)
+            # What was kept before all began anew is not known: everything may have been.
+            anew = (Hole(0, wanted, tuple(x.who for x in wanted)),) if self.lived else ()
+            return Roster(self.random.getrandbits(62) + 1, 1, wanted, (), anew)
         known = sorted({*roster.members, *(() if settled else roster.sources)})
         sources = tuple(x for x in known if x in wanted)
         missing = tuple(x.who for x in known if x not in wanted)
         holes = list(self._holes)
         if missing:
-            holes.append(Hole(roster.members, missing))
+            holes.append(Hole(roster.number, roster.members, missing))
             if not settled:  # what the one before held may not have been told whole either
-                holes = [Hole(x.members, tuple(sorted({*x.missing, *missing}))) for x in holes]
+                holes = [Hole(x.number, x.members, tuple(sorted({*x.missing, *missing}))) for x in holes]
         return Roster(roster.lineage, roster.number + 1, wanted, sources, tuple(holes[-HOLES_MOST:]))
 
     def _electors(self) -> list[str]:
--- a/cloverhinge/custody/wire.py
+++ b/cloverhinge/custody/wire.py
@@ -14,6 +14,7 @@
 MEMBERS_MOST = 128  # routers in a roster: one datagram of 1 KB holds a table of their names' digests, TCP all
 ID_MOST = 160  # characters of a record's id: a front's letter and the longest play id
 BATCH_BYTES = 900  # of items in one message, so that with the members' head it stays one datagram
+MINE_MOST = 32  # ids in an answer: with the longest still some 5 KB
 TELL_BYTES = 64 * 1024  # of slots in one part of a transfer: goes over TCP
 
 Id = Annotated[str, Meta(min_length=1, max_length=ID_MOST)]
@@ -35,8 +36,9 @@
 
 class Hole(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
     """Members of a roster who never told what they held: records with too many keepers among them are
-    unknown."""
+    unknown, unless they were written in a later one."""
 
+    number: Number
     members: Members
     missing: Annotated[tuple[Who, ...], Meta(max_length=MEMBERS_MOST)]
 
@@ -109,12 +111,14 @@
     seq: Number
     generation: Number  # of the asked one's leases for this router, as far as it is known
     active: bool  # votes in its roster
+    lived: bool  # others remember an earlier run of its name
     leaving: bool = False
 
 
 class Granted(Item, tag=7, frozen=True):
     of: Number
     generation: Number
+    owned: Number  # records of the asker's that are kept here
 
 
 class Lapsed(Item, tag=8, frozen=True):
@@ -201,9 +205,20 @@
     ballot: Ballot
 
 
+class Mine(Item, tag=21, frozen=True):
+    """Which records of mine do you keep, by id after this one?"""
+
+    after: Annotated[str, Meta(max_length=ID_MOST)]
+
+
+class Yours(Item, tag=22, frozen=True):
+    ids: Annotated[list[Id], Meta(max_length=MINE_MOST)]
+    last: bool
+
+
 Items = (Prepare | Promised | Write | Written | Refused | Hi | Granted | Lapsed | RosterAsk | RosterPromised
          | RosterWrite | RosterWritten | RosterRefused | Known | Tell | Heard | GiveMe | Given | NotGiven
-         | Thanks)
+         | Thanks | Mine | Yours)
 
 
 class Body(msgspec.Struct, array_like=True, frozen=True):
--- a/cloverhinge/emulator/keeping.py
+++ b/cloverhinge/emulator/keeping.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from cloverhinge.custody.core import TICK_MS, Action, Answer, Custody, Lost, Rules, Say, Took, Verdict
+from cloverhinge.custody.core import TICK_MS, Action, Answer, Custody, Kept, Lost, Rules, Say, Took, Verdict
 from cloverhinge.custody.core import Send as SendTo
 from cloverhinge.custody.register import Phase
 from cloverhinge.custody.wire import Member
@@ -20,6 +20,7 @@
 BOX_MS = 80.0  # from a set-up's first byte to its answer
 CONNECT_MS = 5.0  # between the intent and the first byte
 WAIT_MS = 3000.0  # that a viewer waits
+KEPT_MS = 250.0  # that an answer waits for the keepers at the most
 
 
 @dataclass
@@ -106,6 +107,9 @@
                         world.session(id).stands = False
                 case Lost(id, _):
                     self.sessions.pop(id, None)
+                    self._tell_all(id, "refused")
+                case Kept(id, Phase.STANDS):
+                    self._tell_all(id, "200")
                 case Say(text):
                     self.said.append(text)
 
@@ -130,8 +134,7 @@
         if self.sessions.get(id) != "open" or not self.custody.may_act(id, self.now):
             if self.sessions.get(id) == "open":
                 del self.sessions[id]
-            for fetch in self.world.waiting.pop((self.custody.who, id), []):
-                self.world.tell(fetch, "refused")
+            self._tell_all(id, "refused")
             return
         session = self.world.session(id)
         session.sent.append((self.now, self.custody.who))
@@ -147,8 +150,11 @@
             return
         self.sessions[id] = "stands"
         self.do(self.custody.update(self.now, id, Phase.STANDS, b""))
+        self.world.net.timer(self.process, KEPT_MS, lambda: self._tell_all(id, "200"))
+
+    def _tell_all(self, id: str, answer: str) -> None:
         for fetch in self.world.waiting.pop((self.custody.who, id), []):
-            self.world.tell(fetch, "200")
+            self.world.tell(fetch, answer)
 
 
 @dataclass
@@ -202,14 +208,18 @@
             if len(session.sent) > 1:
                 found.append(f"{id} was set up {len(session.sent)} times: {session.sent}")
         failed: dict[str, float] = {}
+        served: set[tuple[str, str]] = set()  # a router that served it before may not know yet
         for fetch in sorted(self.fetches, key=lambda x: x.answered_ms):
             if fetch.answer == "failed":
                 failed.setdefault(fetch.id, fetch.answered_ms)
-            elif fetch.answer == "200" and fetch.asked_ms > failed.get(fetch.id, 1e18):
+            elif fetch.answer == "200" and fetch.asked_ms > failed.get(fetch.id, 1e18) \
+                    and (fetch.id, fetch.at) not in served:
                 found.append(f"{fetch.id} had failed at {failed[fetch.id]:.0f} and was served to a viewer "
                              f"who came at {fetch.asked_ms:.0f}")
             elif fetch.answer == "200" and not self.session(fetch.id).sent:
                 found.append(f"{fetch.id} was answered and never set up")
+            if fetch.answer == "200":
+                served.add((fetch.id, fetch.at))
         return found
 
     def unowned(self) -> list[str]:
