Custody: a stale view calls nobody replaced, and keepers count only answers as contact

Two rosters of one number were decided where a router held an old run of a member for its later one: a roster now names the incarnations that its members had. A keeper that was heard by nobody still voted: only answered questions count.

--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from itertools import islice
@@ -132,6 +132,7 @@
 class Peer:
     member: Member
     heard_ms: float = -1e12
+    proven_ms: float = -1e12  # when a question was sent that it has answered
     lineage: int = 0
     number: int = 0
     active: bool = False
@@ -204,7 +205,7 @@
         self.rosters = Rosters(own, rules.routers, rules.hole_ms, self.random.getrandbits(62))
         self.peers: dict[str, Peer] = {self.who: Peer(own)}
         self.alive: dict[str, Member] = {self.who: own}  # as membership has it
-        self.runs: dict[str, int] = {own.name: own.run}
+        self.runs: dict[str, tuple[int, int]] = {}  # by name: run and incarnation
         self.lived_before = False
         self.room: Mapping[str, float] = {}
         self.held: dict[str, Held] = {}
@@ -253,10 +254,10 @@
 
     # Events
 
-    def view(self, members: Iterable[Member], lived_before: bool, room: Mapping[str, float]) -> None:
-        """Membership has changed, or what is known of the members' room."""
+    def view(self, members: Mapping[Member, int], lived_before: bool, room: Mapping[str, float]) -> None:
+        """Membership has changed, or what is known of the members' room; `members` with incarnations."""
         self.alive = {x.who: x for x in members}
-        self.runs = {x.name: x.run for x in self.alive.values()}
+        self.runs = {x.name: (x.run, incarnation) for x, incarnation in members.items()}
         self.lived_before, self.room = lived_before, room
         for who, member in self.alive.items():
             if who not in self.peers:
@@ -433,6 +434,8 @@
                 self._given(now, who, item)
             case wire.NotGiven():
                 self._not_given(now, item)
+            case wire.Seen():
+                self._answered(who, item.of)
             case wire.Mine():
                 self._mine(who, item.after)
             case wire.Yours():
@@ -479,10 +482,19 @@
                 self._to(who, wire.Granted(hi.seq, hi.generation, owned))
             else:
                 self._to(who, wire.Lapsed(hi.seq, self.keeper.generation(who)))
+        else:
+            self._to(who, wire.Seen(hi.seq))
 
-    def _granted(self, now: float, who: str, told: wire.Granted) -> None:
+    def _answered(self, who: str, of: int) -> float | None:
+        """When the question was sent; both directions worked since."""
         peer = self.peers[who]
-        sent = peer.asked.pop(told.of, None)
+        sent = peer.asked.pop(of, None)
+        if sent is not None:
+            peer.proven_ms = max(peer.proven_ms, sent)
+        return sent
+
+    def _granted(self, now: float, who: str, told: wire.Granted) -> None:
+        peer, sent = self.peers[who], self._answered(who, told.of)
         if sent is not None and told.generation == peer.generation:
             peer.until_ms = max(peer.until_ms, sent + GRANT_SHARE * self.rules.lease_ms)
         if told.owned <= self._count(who):
@@ -516,7 +528,7 @@
     def _lapsed(self, now: float, who: str, told: wire.Lapsed) -> None:
         """Another may have come to that keeper in between: all that it holds is written to it again."""
         peer = self.peers[who]
-        if peer.asked.pop(told.of, None) is None or told.generation <= peer.generation:
+        if self._answered(who, told.of) is None or told.generation <= peer.generation:
             return
         peer.generation, peer.until_ms = told.generation, -1e12
         for held in self.held.values():
@@ -645,13 +657,13 @@
     # Keeping
 
     def _among_most(self, now: float) -> bool:
-        """Whether most of the roster have been heard of late: the others may go on without those that have
-        not, and answer for what those keep.  A cut is seen as one, and followed by a roster, later than this.
+        """Whether most of the roster have answered of late: the others may go on without those to whom they
+        have not, and answer for what those keep.  A cut is followed by a roster only later than this.
         """
         roster = self.rosters.roster
         if roster is None:
             return False
-        heard = sum(x.who == self.who or now - self.peers[x.who].heard_ms < HEARD * self.rules.lease_ms
+        heard = sum(x.who == self.who or now - self.peers[x.who].proven_ms < HEARD * self.rules.lease_ms
                     for x in roster.members)
         return 2 * heard > len(roster.members)
 
--- a/cloverhinge/custody/rosters.py
+++ b/cloverhinge/custody/rosters.py
@@ -28,6 +28,7 @@
 HOLES_MOST = 16
 
 To = list[tuple[str, wire.Items]]
+Runs = Mapping[str, tuple[int, int]]  # by name: the run that is a member now, and its incarnation
 
 
 @dataclass(slots=True)
@@ -83,10 +84,10 @@
     def active(self) -> bool:
         return self.active_ms is not None
 
-    def quorum(self, votes: Collection[str], runs: Mapping[str, int]) -> bool:
+    def quorum(self, votes: Collection[str], runs: Runs) -> bool:
         """Whether these decide the next roster.
 
-        Either more than half of the present one's members; or all of them but those in whose place another
+        Either more than half of the present one's members; or all of them but those in whose place a later
         run of their name stands (`runs`): those are gone, and can vote for nothing else.  Where all are gone
         nothing of it is remembered, and a majority of the installation's routers begins anew.
         """
@@ -95,14 +96,22 @@
         members = self.roster.members
         if 2 * len(votes) > len(members):
             return True
-        return bool(votes) and all(x.who in votes or runs.get(x.name, x.run) != x.run for x in members)
+        gone = self._replaced(runs)
+        return bool(votes) and all(x.who in votes or x in gone for x in members)
 
-    def _gone(self, runs: Mapping[str, int]) -> bool:
-        return self.roster is not None and all(runs.get(x.name, x.run) != x.run for x in self.roster.members)
+    def _replaced(self, runs: Runs) -> set[Member]:
+        """Members in whose place a later run is seen; an earlier one is only what is known too late."""
+        if self.roster is None:
+            return set()
+        return {x for x, born in zip(self.roster.members, self.roster.born, strict=True)
+                if (seen := runs.get(x.name)) is not None and seen[0] != x.run and seen[1] > born}
+
+    def _gone(self, runs: Runs) -> bool:
+        return self.roster is not None and len(self._replaced(runs)) == len(self.roster.members)
 
     # Proposing
 
-    def due(self, now: float, wanted: tuple[Member, ...], runs: Mapping[str, int], settled: bool,
+    def due(self, now: float, wanted: tuple[Member, ...], runs: Runs, settled: bool,
             fresh: bool, lived: bool) -> To:
         """`wanted`: routers that take part now, in order; `settled`: all of the roster are known to vote;
         `lived`: some of them are remembered from an earlier run; `fresh`: none is, or all are here and have
@@ -135,15 +144,17 @@
         rank = voters.index(self.own.who) if self.own.who in voters else len(voters)
         if now - (self._since_ms or now) < SETTLE_MS + rank * STAGGER_MS:
             return []
-        self._draft = Draft(above(self._promised, 0, self.own.who), self._next(wanted, settled), now, now)
+        ballot = above(self._promised, 0, self.own.who)
+        self._draft = Draft(ballot, self._next(wanted, runs, settled), now, now)
         return self._send(now, self._draft)
 
-    def _next(self, wanted: tuple[Member, ...], settled: bool) -> Roster:
+    def _next(self, wanted: tuple[Member, ...], runs: Runs, settled: bool) -> Roster:
         roster = self.roster
+        born = tuple(runs[x.name][1] if x.name in runs else 1 for x in wanted)
         if roster is None:
             # What was kept before all began anew is not known: everything may have been.
             anew = (Hole(0, wanted, tuple(x.who for x in wanted)),) if self.lived else ()
-            return Roster(self.random.getrandbits(62) + 1, 1, wanted, (), anew)
+            return Roster(self.random.getrandbits(62) + 1, 1, wanted, born, (), anew)
         known = sorted({*roster.members, *(() if settled else roster.sources)})
         sources = tuple(x for x in known if x in wanted)
         missing = tuple(x.who for x in known if x not in wanted)
@@ -152,7 +163,7 @@
             holes.append(Hole(roster.number, roster.members, missing))
             if not settled:  # what the one before held may not have been told whole either
                 holes = [Hole(x.number, x.members, tuple(sorted({*x.missing, *missing}))) for x in holes]
-        return Roster(roster.lineage, roster.number + 1, wanted, sources, tuple(holes[-HOLES_MOST:]))
+        return Roster(roster.lineage, roster.number + 1, wanted, born, sources, tuple(holes[-HOLES_MOST:]))
 
     def _electors(self) -> list[str]:
         return [x.who for x in (
@@ -191,7 +202,7 @@
         self._value = told.value
         return wire.RosterWritten(told.number, told.ballot)
 
-    def promised(self, now: float, who: str, told: wire.RosterPromised, runs: Mapping[str, int],
+    def promised(self, now: float, who: str, told: wire.RosterPromised, runs: Runs,
                  ) -> To:
         draft = self._draft
         if (draft is None or told.number != self.number or told.ballot != draft.ballot
@@ -204,7 +215,7 @@
         draft.writing = newest[1] or draft.value
         return self._send(now, draft)
 
-    def written(self, who: str, told: wire.RosterWritten, runs: Mapping[str, int],
+    def written(self, who: str, told: wire.RosterWritten, runs: Runs,
                 ) -> Roster | None:
         """The next roster, once it is decided."""
         draft = self._draft
--- a/cloverhinge/custody/wire.py
+++ b/cloverhinge/custody/wire.py
@@ -49,6 +49,7 @@
     lineage: Number
     number: Number
     members: Members
+    born: Annotated[tuple[Number, ...], Meta(max_length=MEMBERS_MOST)]  # incarnations that they had then
     sources: Members = ()
     holes: Annotated[tuple[Hole, ...], Meta(max_length=16)] = ()
 
@@ -205,6 +206,12 @@
     ballot: Ballot
 
 
+class Seen(Item, tag=23, frozen=True):
+    """Heard, and no lease: this one does not vote now."""
+
+    of: Number
+
+
 class Mine(Item, tag=21, frozen=True):
     """Which records of mine do you keep, by id after this one?"""
 
@@ -218,7 +225,7 @@
 
 Items = (Prepare | Promised | Write | Written | Refused | Hi | Granted | Lapsed | RosterAsk | RosterPromised
          | RosterWrite | RosterWritten | RosterRefused | Known | Tell | Heard | GiveMe | Given | NotGiven
-         | Thanks | Mine | Yours)
+         | Thanks | Mine | Yours | Seen)
 
 
 class Body(msgspec.Struct, array_like=True, frozen=True):
--- a/cloverhinge/emulator/keeping.py
+++ b/cloverhinge/emulator/keeping.py
@@ -64,7 +64,8 @@
 
     def _look(self) -> None:
         records = self.members.table.records
-        alive = tuple(Member(x.name, x.run, x.site) for x in records.values() if x.state is State.ALIVE)
+        alive = {Member(x.name, x.run, x.site): x.incarnation for x in records.values()
+                 if x.state is State.ALIVE}
         if self.members.joined and (alive, self.members.lived_before) != self.seen:
             self.seen = alive, self.members.lived_before
             self.custody.view(alive, self.members.lived_before, {})
@@ -184,8 +185,8 @@
         """All that run hold one roster of just them, and vote."""
         here = [x for x in self.keepers if x.running]
         rosters = [x.custody.rosters for x in here]
-        names = sorted(x.name for x in here)
-        return all(x.roster is not None and x.active and [m.name for m in x.roster.members] == names
+        runs = sorted(x.custody.who for x in here)
+        return all(x.roster is not None and x.active and [m.who for m in x.roster.members] == runs
                    and x.roster == rosters[0].roster for x in rosters)
 
     def until_rostered(self, most_ms: float = 20_000.0) -> float:
