Custody: what failed is released before it is final, and own intents that came back are not sent

A successor that died after its FAILED was kept left a session standing that nobody owned (DOOMED has an owner until the box has been told); a router that lost an intent and found it again would have sent it twice.

--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -40,6 +40,7 @@
 HELD_MOST = 65_536  # records owned
 TRIES_MOST = 4096
 GIFTS_MOST, GIFT_MS = 4096, 5000.0  # hand-overs told again until the other thanks
+IDLE_MOST = 4096  # one that is forgotten is taken for one that was acted on
 SENT_KEPT = 8  # questions for a lease whose answers still count
 
 
@@ -194,6 +195,7 @@
     owner: str = ""
     sent_ms: float = 0.0
     pause_ms: float = RESEND_MS
+    wrote: bool = False  # its intent, as that of a new record
 
 
 class Custody:
@@ -221,6 +223,7 @@
         self._gifts: OrderedDict[str, tuple[str, wire.Given, float, float]] = OrderedDict()
         self._tells: dict[tuple[str, int], tuple[wire.Tell, float]] = {}
         self._parts: dict[str, set[int]] = {}
+        self._idle: OrderedDict[str, None] = OrderedDict()  # intents written and given up before any act
         self._seq = 0
         self._looked_ms = -1e12
         self._purged = True
@@ -297,7 +300,7 @@
         attempt = self.tries.get(id)
         if held is not None and not held.to and attempt is None:
             verdict = Verdict.TAKEN if held.work.phase is Phase.STANDS else Verdict.NEW
-            if register.owned(held.work):
+            if held.work.phase in (Phase.STANDS, Phase.INTENT):
                 self._out.append(Answer(number, verdict, held.work))
                 return self._done(now)
         if attempt is not None:
@@ -797,6 +800,10 @@
     def _step(self, now: float, attempt: Try) -> None:
         if now >= attempt.until_ms and attempt.reason != "keep":
             del self.tries[attempt.id]
+            if attempt.wrote:
+                self._idle[attempt.id] = None
+                while len(self._idle) > IDLE_MOST:
+                    self._idle.popitem(last=False)
             verdict = Verdict.HELD if attempt.owner else Verdict.UNKEPT
             self.counters.unkept += bool(attempt.numbers)
             for number in attempt.numbers:
@@ -826,6 +833,7 @@
         attempt.promises, attempt.refusals, attempt.written = {}, {}, {}
         attempt.stage = Stage.CLAIM if attempt.claims else Stage.ASK
         attempt.work = attempt.intent if attempt.claims else None
+        attempt.wrote = attempt.wrote or attempt.claims
         attempt.found, attempt.claims, attempt.pause_ms = None, False, RESEND_MS
         self._ask(now, attempt)
 
@@ -875,6 +883,10 @@
             work = msgspec.structs.replace(found or attempt.intent, phase=Phase.FAILED)
         elif attempt.reason == "orphan" and found is not None and not register.owned(found):
             work = found
+        elif found is not None and found.owner == self.who and found.phase is Phase.INTENT and found.paid \
+                and not attempt.wrote and attempt.id not in self._idle:
+            # Lost and come back: it may have left before.
+            work = msgspec.structs.replace(found, phase=Phase.DOOMED)
         else:
             work = register.taken_over(found, self.who, attempt.intent)
         attempt.found, attempt.work, attempt.stage = found, work, Stage.WRITE
@@ -912,6 +924,7 @@
                 self._chosen(now, held)
             return
         mine = register.owned(work) == self.who
+        self._idle.pop(attempt.id, None)
         if mine:
             self._own(now, attempt)
         if found is not None and found != work and found.owner != self.who:
@@ -920,10 +933,12 @@
             self.counters.claimed += 1
         if found is not None and (found != work or mine):
             self._out.append(Took(attempt.id, work, found))
-        verdict = Verdict.FINAL if not mine else \
+        verdict = Verdict.FINAL if not mine or work.phase is Phase.DOOMED else \
             Verdict.TAKEN if work.phase is Phase.STANDS else Verdict.NEW
         for number in attempt.numbers:
             self._out.append(Answer(number, verdict, work))
+        if mine and work.phase is Phase.DOOMED:
+            self._write(now, self.held[attempt.id], msgspec.structs.replace(work, phase=Phase.FAILED))
 
     def _refused(self, now: float, who: str, told: wire.Refused) -> None:
         attempt, held = self.tries.get(told.id), self.held.get(told.id)
--- a/cloverhinge/custody/register.py
+++ b/cloverhinge/custody/register.py
@@ -22,12 +22,16 @@
 
 
 class Phase(IntEnum):
-    """Of a piece of work; the first two have an owner who acts, the others are answers that stay."""
+    """Of a piece of work; FAILED and OVER are answers that stay, the others have an owner who acts."""
 
     INTENT = 0  # its set-up may be on its way
     STANDS = 1
     FAILED = 2  # it may have run, and is never set up again
     OVER = 3
+    DOOMED = 4  # it has failed; what an earlier owner may have left at a box is still to be released
+
+
+ACTING = (Phase.INTENT, Phase.STANDS, Phase.DOOMED)
 
 
 class Work(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
@@ -82,7 +86,7 @@
 
 def owned(work: Work | None) -> str:
     """Who acts on the work; "" where nobody does."""
-    return work.owner if work is not None and work.phase in (Phase.INTENT, Phase.STANDS) else ""
+    return work.owner if work is not None and work.phase in ACTING else ""
 
 
 def prepare(slot: Slot, ballot: Ballot, asker: str, lease_left_ms: float) -> tuple[Slot, Reply]:
@@ -174,7 +178,7 @@
 def taken_over(found: Work | None, asker: str, intent: Work) -> Work:
     """What a router that found `found`, with its owner's lease over, may make of the record.
 
-    A paid intent may have left: it is never sent again, and its answer is a failure that stays.  An answer
+    A paid intent may have left: it is never sent again, and its answer will be a failure.  An answer
     that stays is written as it is, so that a majority holds it; only work that may be repeated begins anew.
     """
     if found is None:
@@ -186,7 +190,7 @@
     if found.owner == asker:
         return found
     if found.phase is Phase.INTENT and found.paid:
-        return follows(found, asker, phase=Phase.FAILED)
+        return follows(found, asker, phase=Phase.DOOMED)
     return follows(found, asker)
 
 
--- a/cloverhinge/emulator/keeping.py
+++ b/cloverhinge/emulator/keeping.py
@@ -100,10 +100,10 @@
                     self.act(self.members.carry(self.now, to.name, to.run, "custody", body))
                 case Answer(number, verdict, _):
                     self._answer(self.asked.pop(number), verdict)
-                case Took(id, work, found):
+                case Took(id, work, _):
                     if work.phase is Phase.STANDS:
                         self.sessions[id] = "stands"
-                    if found is not None and found.phase is Phase.INTENT and found.owner != work.owner:
+                    if work.phase is Phase.DOOMED:
                         world.session(id).released.append(self.custody.who)
                         world.session(id).stands = False
                 case Lost(id, _):
