--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -578,7 +578,8 @@
         if self.rosters.follows(roster):
             self._enter(now, roster)
         elif (held := self.rosters.roster) is not None and roster.lineage != held.lineage and (
-                self.rosters.stuck or not self.rosters.member) and self.peers[who].active:
+                self.rosters.stuck or not self.rosters.member or not self._followed(now)) \
+                and self.peers[who].active:
             # Its own majority is gone for good, and others have begun anew: it joins them.
             self._out.append(Say("joins routers that began anew: what this one kept is void"))
             for id in list(self.keeper.slots):
@@ -588,6 +589,13 @@
                 one.base, one.ballot = NONE, above(NONE, roster.number, self.who)
                 one.since = one.ballot
 
+    def _followed(self, now: float) -> bool:
+        """Whether most members of this one's roster are of its lineage still."""
+        roster = self.rosters.roster
+        return roster is not None and 2 * sum(
+            x.who == self.who or self._takes_part(x.who, now) and self.peers[x.who].lineage == roster.lineage
+            for x in roster.members) > len(roster.members)
+
     def _enter(self, now: float, roster: Roster) -> None:
         self.rosters.enter(now, roster)
         self.keeper.enter(roster.number)
@@ -867,8 +875,8 @@
         work: Work
         if attempt.reason == "keep":
             held = self.held.get(attempt.id)
-            if held is None or found is not None and found.owner != self.who and not (
-                    held.to and found.owner == held.to):
+            if held is None or found is not None and (found.epoch, found.owner) != (
+                    held.work.epoch, held.work.owner) and found.epoch >= held.work.epoch:
                 del self.tries[attempt.id]
                 if held is not None:
                     self._lose(attempt.id, "" if found is None else found.owner)
@@ -880,7 +888,8 @@
             return
         elif hole and attempt.intent.paid and (found is None or found.phase is Phase.INTENT):
             self.counters.unknown += 1  # more may have been known of it than is known now
-            work = msgspec.structs.replace(found or attempt.intent, phase=Phase.FAILED)
+            work = msgspec.structs.replace(attempt.intent, phase=Phase.FAILED) if found is None else \
+                register.follows(found, self.who, phase=Phase.DOOMED)
         elif attempt.reason == "orphan" and found is not None and not register.owned(found):
             work = found
         elif found is not None and found.owner == self.who and found.phase is Phase.INTENT and found.paid \
