Custody in the program: [custody], hooks in core, plays and RTSP front, status and command; media boxes in the lab

A paid play whose router is killed goes on at another one: its session is taken over with box and rung, set up once. Off by default: nothing of it is loaded, and the core asks only whether it is there.

--- a/cloverhinge/admin.py
+++ b/cloverhinge/admin.py
@@ -1,4 +1,7 @@
-"""The admin socket: whoever writes the line `status` gets the router's state as one line of JSON."""
+"""The admin socket: whoever writes the line `status` gets the router's state as one line of JSON.
+
+Parts that the site file turns on may add commands of one word and what it is about, as `custody PLAY`.
+"""
 
 from __future__ import annotations
 
@@ -71,17 +74,22 @@
         pass  # one answer may fill the transport's buffer; it is bounded by what it shows
 
     def lineReceived(self, line: bytes) -> None:
-        if line.strip() == b"status":
-            self.send(json.dumps(self.admin.status()).encode() + b"\n")
+        word, _, about = line.decode("utf-8", "replace").strip().partition(" ")
+        if word == "status" and not about:
+            told = self.admin.status()
+        elif word in self.admin.commands:
+            told = self.admin.commands[word](about.strip())
         else:
-            self.send(b'{"error":"only status is known here"}\n')
+            told = {"error": f"only {', '.join(['status', *self.admin.commands])} is known here"}
+        self.send(json.dumps(told).encode() + b"\n")
 
 
 class Admin(ServerFactory):
     noisy = False
 
-    def __init__(self, status: Callable[[], dict[str, Any]]) -> None:
-        self.status, self.count = status, 0
+    def __init__(self, status: Callable[[], dict[str, Any]],
+                 commands: dict[str, Callable[[str], dict[str, Any]]] | None = None) -> None:
+        self.status, self.commands, self.count = status, commands or {}, 0
 
     def buildProtocol(self, addr: Any) -> AdminLine | None:
         return AdminLine(self) if self.count < LINES_MOST else None
--- a/cloverhinge/cli.py
+++ b/cloverhinge/cli.py
@@ -5,6 +5,7 @@
   cloverhinge check [CONFIG] [--site FILE]
   cloverhinge console [--once] [--site FILE]
   cloverhinge members [--site FILE]
+  cloverhinge custody PLAY [--site FILE]
   cloverhinge version
   cloverhinge (-h | --help)
 
@@ -14,6 +15,7 @@
   console  Show a running router's sessions, boxes, counters and certificate, at the admin socket
            that the site file names.
   members  Show which routers are members, as a running router sees them.
+  custody  Tell where a play (or a session over RTSP) is, who owns it and who did before.
   version  Print the version.
 
 Options:
@@ -45,12 +47,14 @@
     if chosen["serve"]:  # a SIGHUP that comes before the router stands waits until it does
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        if chosen["console"] or chosen["members"]:
+        if chosen["console"] or chosen["members"] or chosen["custody"]:
             admin = site.read(Path(chosen["--site"])).admin
             if admin is None:
                 raise ConfigError(f"{chosen['--site']} names no admin socket")
             if chosen["members"]:
                 return console.show_members(admin)
+            if chosen["custody"]:
+                return console.show_custody(admin, chosen["PLAY"])
             return console.show(admin, chosen["--once"])
         told = config.read(chosen["CONFIG"]) if chosen["CONFIG"] else config.from_environment()
         path = Path(chosen["--site"])
@@ -66,6 +70,9 @@
               f"HLS front: on {around.hls.listen[0]}:{around.hls.listen[1]}, {len(around.hls.titles)} titles")
         print("members: off" if around.members is None else
               f"members: site {around.members.site}, {len(around.members.join)} addresses to join")
+        print("custody: off" if around.custody is None else
+              f"custody: {around.custody.routers} routers, {around.custody.keepers} may be lost at once, "
+              f"without keepers it {'serves' if around.custody.serve else 'refuses'}")
         print("door: off" if around.door is None else
               f"door: {len(around.door.clients) - 1} clients named, {around.door.waiting} may wait")
         return 0
--- a/cloverhinge/console.py
+++ b/cloverhinge/console.py
@@ -19,13 +19,17 @@
     """One plain sentence on why there is nothing to show."""
 
 
-def fetch(where: tuple[str, int]) -> dict[str, Any]:
+def ask(where: tuple[str, int], line: str) -> Any:
     try:
         with socket.create_connection(where, WAIT_S) as link, link.makefile("rb") as answer:
-            link.sendall(b"status\n")
-            told = json.loads(answer.readline())
+            link.sendall(line.encode() + b"\n")
+            return json.loads(answer.readline())
     except (OSError, ValueError) as error:
         raise ConsoleError(f"no router answers at {where[0]}:{where[1]}: {error}") from None
+
+
+def fetch(where: tuple[str, int]) -> dict[str, Any]:
+    told = ask(where, "status")
     if not isinstance(told, dict) or "counters" not in told:
         raise ConsoleError(f"what answers at {where[0]}:{where[1]} is no router")
     return told
@@ -111,6 +115,27 @@
     return 0
 
 
+def render_custody(play: str, told: dict[str, Any]) -> list[str]:
+    """Where a play is, and who owned it before."""
+    if "error" in told:
+        raise ConsoleError("this router keeps no work: its site file has no table [custody]")
+    keepers = ", ".join(plain(x, 64).rstrip() for x in told["keepers"]) or "nobody yet"
+    if not told["found"]:
+        return [f"{plain(play, 128).rstrip()}: not known here; if it is known, then to {keepers}"]
+    at = f" at {plain(told['box'], 64).rstrip()}" if told["box"] else ""
+    past = " <- ".join(plain(x, 64).rstrip() for x in reversed(told["past"]))
+    return [f"{plain(play, 128).rstrip()}: {told['class']} {told['title']}: {told['phase']}{at}"
+            f"{' as session ' + told['session'] if told['session'] else ''}",
+            f"    owner {plain(told['owner'], 64).rstrip()}{' (this router)' if told['mine'] else ''}, "
+            f"epoch {told['epoch']}{', before: ' + past if past else ''}",
+            f"    kept by {keepers}"]
+
+
+def show_custody(where: tuple[str, int], play: str, out: TextIO = sys.stdout) -> int:
+    out.write("\n".join(render_custody(play, ask(where, f"custody {play}"))) + "\n")
+    return 0
+
+
 def show(where: tuple[str, int], once: bool, out: TextIO = sys.stdout) -> int:
     if once or not out.isatty():
         out.write("\n".join(render(fetch(where))) + "\n")
--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -29,6 +29,7 @@
     client: int = -1  # the door's number of the client that vouched for it; -1 = go by the address
     ticket: str = ""  # of an earlier quote
     grain_ms: float = 1.0  # the wire tells holds-off in steps of so much
+    record: str = ""  # under which custody keeps it; none: under its name
 
 
 class State(Enum):
@@ -72,6 +73,7 @@
     started_ms: float
     until_ms: float
     written: bool = False  # its first byte has been handed to the network
+    sending: bool = False  # its way is asking whether it may be written, and ends it itself
     deadline: Key | None = None
 
 
@@ -132,6 +134,29 @@
     def fleet_changed(self) -> None: ...
 
 
+class Custody(Protocol):
+    """Sees to it that other routers know of the work in hand, where the site wants that."""
+
+    def intend(self, attempt: Attempt) -> None:
+        """Call `Router.send` once its intent is kept as it has to be, or `Router.unkept`."""
+
+    def may_write(self, attempt: Attempt) -> bool:
+        """Whether this router still has the work, asked right before the first byte."""
+
+    def certain(self, attempt: Attempt, answer: bytes) -> bool:
+        """Whether it may stand here; otherwise `Router.answered` is called again once that is known."""
+
+    def stands(self, request: Request, answer: bytes) -> None:
+        """Call its viewer's `served` once that is kept, or soon."""
+
+    def carried(self, request: Request) -> None: ...
+    def resized(self, request: Request) -> None: ...
+    def over(self, request: Request) -> None: ...
+
+    def release(self, request: Request, cause: Cause) -> None:
+        """Tell its box, once it is certain that the session is not another router's by now."""
+
+
 class Prober(Protocol):
     def probe(self, server: int) -> None:
         """Report to `Router.probed`, in any case."""
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -20,6 +20,7 @@
     Boxes,
     Cause,
     Counters,
+    Custody,
     Door,
     Prober,
     Request,
@@ -33,6 +34,7 @@
 
 ANSWER_MARGIN_MS = 60.0  # an answer is on its way so long before the viewer stops waiting
 GUARD_MARGIN_MS = 25.0  # and whatever happens, so long before
+UNKEPT_MS = 1000.0  # told to one whose intent could not be kept: a lost router's part is taken over by then
 GIVE_UP_MS = 8.0  # a box hears so soon that an attempt is given up; only then may another one go out
 CAUSES = {Outcome.SERVED: Cause.ENDED, Outcome.RESET: Cause.CUT, Outcome.CANCELLED: Cause.CANCELLED}
 
@@ -53,6 +55,7 @@
         self.counters = Counters()
         self.prober: Prober | None = None
         self.door: Door | None = None
+        self.custody: Custody | None = None
         self.on_open: Callable[[], None] = lambda: None  # told whenever an open request is concluded
         self.open = 0
         self._events: deque[api.Event] = deque()
@@ -142,6 +145,8 @@
         request.attempts = 1
         self._stand(request, server)
         self.counters.carried += 1
+        if self.custody is not None:
+            self.custody.carried(request)
         self.tell(self._requested(request, server))
         return request
 
@@ -192,7 +197,59 @@
         request.attempt = attempt
         attempt.deadline = self.deadlines.arm(until, lambda: self._timed_out(attempt))
         self.counters.attempts += 1
-        request.boxes.set_up(attempt)
+        if self.custody is None:
+            request.boxes.set_up(attempt)
+        else:
+            self.custody.intend(attempt)
+
+    def send(self, attempt: Attempt) -> None:
+        """Custody has what it wants; the request may be concluded by now."""
+        if attempt.request.attempt is attempt:
+            attempt.request.boxes.set_up(attempt)
+
+    def unkept(self, request: Request, failed: bool = False) -> None:
+        """Nothing of it has left, and nothing will: custody can't keep it, or it has failed elsewhere."""
+        if request.state is not State.OPEN:
+            return
+        attempt = request.attempt
+        if attempt is not None and not attempt.sending:
+            self._withdraw(attempt)
+        if failed:
+            self.counters.failed += 1
+        else:
+            self.counters.refused += 1
+        self._conclude(request)
+        if failed:
+            request.viewer.failed(Outcome.ERROR)
+        else:
+            request.viewer.refused(UNKEPT_MS if self.settings.retry_after else 0.0)
+        self.tell(api.ViewerLeft(request.handle))
+        if attempt is not None:
+            self._settle(attempt, Outcome.MOOT, concluded=True)
+
+    def resume(self, request: Request, server: int, answer: bytes) -> None:
+        """What was asked for stands already, and is this router's from now on."""
+        if request.state is State.OPEN:
+            attempt, ask, viewer = request.attempt, request.ask, request.viewer
+            self._conclude(request)
+            self.tell(api.ViewerLeft(request.handle))
+            if attempt is not None:
+                self._settle(attempt, Outcome.MOOT, concluded=True)
+            if self.carry(ask, server, viewer, request.boxes) is not None:
+                viewer.served(answer)
+
+    def hand_on(self, request: Request) -> None:
+        """Another router has it now, so neither its box nor its viewer is told anything of its end here."""
+        if request.state is State.STANDS:
+            self._end(request, Outcome.CANCELLED, None, tell_box=False, tell_viewer=False)
+        elif request.state is State.OPEN:
+            attempt, request.attempt = request.attempt, None
+            if attempt is not None:
+                self.deadlines.cancel(attempt.deadline)
+            self.counters.failed += 1
+            self._conclude(request)
+            request.viewer.failed(None)
+            self.tell(api.ViewerLeft(request.handle))
 
     def _may_attempt(self, request: Request, server: int) -> bool:
         kind = request.kind
@@ -220,6 +277,10 @@
         if not self.sendable(attempt.server):
             self.attempt_ended(attempt, Outcome.MOOT)
             return False
+        if self.custody is not None and not self.custody.may_write(attempt):
+            attempt.sending = True
+            self.unkept(attempt.request)
+            return False
         attempt.written = True
         return True
 
@@ -262,12 +323,17 @@
         request = attempt.request
         if request.attempt is not attempt or request.state is not State.OPEN:
             return False
+        if self.custody is not None and not self.custody.certain(attempt, answer):
+            return True
         self.deadlines.cancel(attempt.deadline)
         request.attempt, request.may_have_run = None, True
         self._conclude(request, keep=True)
         self._stand(request, attempt.server)
         self.counters.served += 1
-        request.viewer.served(answer)
+        if self.custody is None:
+            request.viewer.served(answer)
+        else:
+            self.custody.stands(request, answer)
         self.tell(api.SessionStarted(request.handle, attempt.server, attempt.number))
         return True
 
@@ -293,6 +359,8 @@
             del self.by_title[request.ask.title]
         if self.door is not None:
             self.door.over(request)
+        if self.custody is not None:
+            self.custody.over(request)
 
     def _refuse(self, session: int, hold_off_ms: float) -> None:
         request = self.requests.get(session)
@@ -317,6 +385,7 @@
         if request is None or request.state is not State.OPEN:
             return
         if request.attempt is not None:
+            request.may_have_run = request.may_have_run or request.attempt.written
             self._withdraw(request.attempt)
             self.deadlines.cancel(request.attempt.deadline)
             request.attempt = None
@@ -373,8 +442,10 @@
         at_server.pop(request.handle, None)
         if not at_server:
             self.standing.pop(server, None)
-        if tell_box:
+        if tell_box and self.custody is None:
             request.boxes.release(request, CAUSES[outcome])
+        elif tell_box and self.custody is not None:
+            self.custody.release(request, CAUSES[outcome])
         if tell_viewer:
             request.viewer.released(CAUSES.get(outcome, Cause.CUT))
         self.tell(api.AttemptEnded(request.handle, request.attempts - 1, server, outcome, True,
@@ -390,6 +461,8 @@
             self.door.resized(request)
         if request.state is State.STANDS:
             request.boxes.set_rung(request, request.rung)
+            if self.custody is not None:
+                self.custody.resized(request)
 
     def note(self, request: Request, event: api.Event) -> None:
         if request.state is State.STANDS:
--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -160,7 +160,8 @@
     base: Ballot
     since: Ballot
     keepers: tuple[str, ...]
-    written: set[str] = field(default_factory=set)
+    written: set[str] = field(default_factory=set)  # keepers that have what was written last
+    holds: set[str] = field(default_factory=set)  # keepers that have this or an earlier write of this owner's
     sent_ms: float = 0.0
     pause_ms: float = RESEND_MS
     to: str = ""  # to whom it is being handed
@@ -177,8 +178,9 @@
 @dataclass(slots=True)
 class Try:
     id: str
-    reason: str  # claim, orphan, keep, mine
+    reason: str  # claim, find, orphan, keep, mine
     intent: Work
+    soon_ms: float  # it ends then, or at `until_ms` where the record is known to be another's
     until_ms: float
     numbers: list[int]
     claims: bool  # the record may be new: it is written at once
@@ -223,6 +225,7 @@
         self._gifts: OrderedDict[str, tuple[str, wire.Given, float, float]] = OrderedDict()
         self._tells: dict[tuple[str, int], tuple[wire.Tell, float]] = {}
         self._parts: dict[str, set[int]] = {}
+        self._kept_by: Counter[str] = Counter()  # records of this router's, by who should keep them
         self._idle: OrderedDict[str, None] = OrderedDict()  # intents written and given up before any act
         self._seq = 0
         self._looked_ms = -1e12
@@ -236,7 +239,7 @@
         held = self.held.get(id)
         if held is None or held.work.owner != self.who:
             return False
-        sure = sum(1 for x in held.written if self.peers[x].until_ms > now)
+        sure = sum(1 for x in held.holds if self.peers[x].until_ms > now)
         return sure >= register.majority(len(held.keepers))
 
     def look(self, id: str) -> Work | None:
@@ -271,6 +274,7 @@
             del self.peers[who]
             for held in self.held.values():
                 held.written.discard(who)
+                held.holds.discard(who)
 
     def due(self, now: float) -> list[Action]:
         self.keeper.lapse(now)
@@ -293,9 +297,12 @@
                 self._to(who, tell)
         return self._done(now)
 
-    def claim(self, now: float, number: int, id: str, paid: bool, body: bytes, until_ms: float,
-              claims: bool = True) -> list[Action]:
-        """A viewer came for it: `Answer` follows by `until_ms`, at once where this router has it already."""
+    def claim(self, now: float, number: int, id: str, paid: bool, body: bytes, soon_ms: float,
+              until_ms: float) -> list[Action]:
+        """A viewer came for it.
+
+        `Answer` follows by `soon_ms`, by `until_ms` where another has it, at once where it is here already.
+        """
         held = self.held.get(id)
         attempt = self.tries.get(id)
         if held is not None and not held.to and attempt is None:
@@ -306,7 +313,8 @@
         if attempt is not None:
             attempt.numbers.append(number)
             attempt.until_ms = max(attempt.until_ms, until_ms)
-            if attempt.reason in ("orphan", "mine"):
+            attempt.soon_ms = max(attempt.soon_ms, soon_ms)
+            if attempt.reason in ("orphan", "mine", "find"):
                 attempt.reason, attempt.intent = "claim", intent(self.who, paid, body)
         elif len(self.tries) >= TRIES_MOST or len(self.held) >= HELD_MOST:
             self.counters.unkept += 1
@@ -314,10 +322,25 @@
         else:
             self._unqueue(id)
             seen = NONE if held is None else held.ballot
-            self._try(now, Try(id, "claim", intent(self.who, paid, body), until_ms, [number], claims,
+            self._try(now, Try(id, "claim", intent(self.who, paid, body), soon_ms, until_ms, [number], True,
                                seen=seen))
         return self._done(now)
 
+    def find(self, now: float, number: int, id: str, soon_ms: float, until_ms: float) -> list[Action]:
+        """A viewer came for a session that stands, if it does; nothing is claimed where it does not."""
+        attempt = self.tries.get(id)
+        if attempt is not None:
+            attempt.numbers.append(number)
+            attempt.until_ms = max(attempt.until_ms, until_ms)
+            attempt.soon_ms = max(attempt.soon_ms, soon_ms)
+        elif len(self.tries) >= TRIES_MOST:
+            self._out.append(Answer(number, Verdict.UNKEPT, None))
+        else:
+            self._unqueue(id)
+            empty = Work(self.who, 1, Phase.INTENT, False)
+            self._try(now, Try(id, "find", empty, soon_ms, until_ms, [number], False))
+        return self._done(now)
+
     def update(self, now: float, id: str, phase: Phase, body: bytes) -> list[Action]:
         """What this router owns has changed; nothing where it does not own it any more."""
         held = self.held.get(id)
@@ -500,7 +523,7 @@
         peer, sent = self.peers[who], self._answered(who, told.of)
         if sent is not None and told.generation == peer.generation:
             peer.until_ms = max(peer.until_ms, sent + GRANT_SHARE * self.rules.lease_ms)
-        if told.owned <= self._count(who):
+        if told.owned <= self._kept_by[who]:
             peer.more_ms = None
         elif peer.more_ms is None:
             peer.more_ms = now
@@ -508,10 +531,6 @@
             peer.more_ms = now
             self._to(who, wire.Mine(peer.after))
 
-    def _count(self, who: str) -> int:
-        """Records of this router's that `who` should keep."""
-        return sum(1 for x in self.held.values() if who in x.keepers)
-
     def _mine(self, who: str, after: str) -> None:
         ids = sorted(x for x in self.keeper.of_owner.get(who, ()) if x > after)
         self._to(who, wire.Yours(ids[:wire.MINE_MOST], len(ids) <= wire.MINE_MOST))
@@ -526,7 +545,7 @@
             if id not in self.held and id not in self.tries and id not in self._gifts \
                     and len(self.tries) < TRIES_MOST // 2:
                 empty = Work(self.who, 1, Phase.INTENT, False)
-                self._try(now, Try(id, "mine", empty, now + ORPHAN_MS, [], False))
+                self._try(now, Try(id, "mine", empty, now + ORPHAN_MS, now + ORPHAN_MS, [], False))
 
     def _lapsed(self, now: float, who: str, told: wire.Lapsed) -> None:
         """Another may have come to that keeper in between: all that it holds is written to it again."""
@@ -537,6 +556,7 @@
         for held in self.held.values():
             if who in held.keepers:
                 held.written.discard(who)
+                held.holds.discard(who)
                 self._unwritten[held.id] = None
                 held.sent_ms, held.pause_ms = -1e12, RESEND_MS
         self._renew(now, peer)
@@ -611,7 +631,9 @@
         if self.own in roster.sources:
             self._tell(now, roster)
         for held in self.held.values():
-            held.keepers, held.written = self.keepers(held.id), set()
+            self._kept_by.subtract(held.keepers)
+            held.keepers, held.written, held.holds = self.keepers(held.id), set(), set()
+            self._kept_by.update(held.keepers)
             if held.id not in self.tries:  # above what a hole leaves in doubt
                 held.ballot = above(held.ballot, roster.number, self.who)
             held.sent_ms, held.pause_ms = -1e12, RESEND_MS
@@ -701,7 +723,8 @@
             held.to = was.to
         held.written = {x for x, generation in attempt.written.items()
                         if x in self.peers and self.peers[x].generation == generation}
-        self.held[attempt.id] = held
+        held.holds = set(held.written)
+        self._hold(held)
         if len(held.written) < len(held.keepers):
             self._unwritten[attempt.id] = None
 
@@ -751,8 +774,15 @@
         else:
             self._out.append(Kept(held.id, held.work.phase))
 
+    def _hold(self, held: Held) -> None:
+        self._forget(held.id)
+        self.held[held.id] = held
+        self._kept_by.update(held.keepers)
+
     def _forget(self, id: str) -> None:
-        self.held.pop(id, None)
+        held = self.held.pop(id, None)
+        if held is not None:
+            self._kept_by.subtract(held.keepers)
         self._unwritten.pop(id, None)
 
     def _lose(self, id: str, to: str) -> None:
@@ -780,8 +810,8 @@
             return  # it has been here, and was handed on
         self.counters.received += 1
         since = given.ballot[0] + 1, self.who
-        self.held[given.id] = Held(given.id, given.work, given.ballot, given.ballot, since,
-                                   self.keepers(given.id), sent_ms=-1e12)
+        self._hold(Held(given.id, given.work, given.ballot, given.ballot, since, self.keepers(given.id),
+                        sent_ms=-1e12))
         self._unwritten[given.id] = None
         self._out.append(Took(given.id, given.work, None))
         attempt = self.tries.pop(given.id, None)
@@ -806,7 +836,7 @@
         self._step(now, attempt)
 
     def _step(self, now: float, attempt: Try) -> None:
-        if now >= attempt.until_ms and attempt.reason != "keep":
+        if now >= (attempt.until_ms if attempt.owner else attempt.soon_ms) and attempt.reason != "keep":
             del self.tries[attempt.id]
             if attempt.wrote:
                 self._idle[attempt.id] = None
@@ -886,6 +916,11 @@
                 or attempt.reason == "mine" and register.owned(found) != self.who:
             del self.tries[attempt.id]
             return
+        elif attempt.reason == "find" and (found is None or found.phase is not Phase.STANDS):
+            del self.tries[attempt.id]
+            for number in attempt.numbers:
+                self._out.append(Answer(number, Verdict.FINAL, found))
+            return
         elif hole and attempt.intent.paid and (found is None or found.phase is Phase.INTENT):
             self.counters.unknown += 1  # more may have been known of it than is known now
             work = msgspec.structs.replace(attempt.intent, phase=Phase.FAILED) if found is None else \
@@ -909,7 +944,11 @@
             attempt.written[who] = told.generation
             if len(attempt.written) >= register.majority(len(attempt.keepers)):
                 self._won(now, attempt)
-        elif held is not None and told.ballot == held.ballot and who in held.keepers:
+        elif held is not None and who in held.keepers:
+            if told.generation == self.peers[who].generation and held.base <= told.ballot:
+                held.holds.add(who)
+            if told.ballot != held.ballot:
+                return
             if told.generation == self.peers[who].generation:
                 held.written.add(who)
             if len(held.written) >= register.majority(len(held.keepers)):
@@ -955,7 +994,7 @@
             if held is not None and told.ballot == held.ballot and told.why is Why.BALLOT:
                 # Another has come to that keeper: who has the record now?
                 seen = max(told.promised, held.ballot)
-                self._try(now, Try(held.id, "keep", held.work, 1e18, [], False, seen=seen))
+                self._try(now, Try(held.id, "keep", held.work, 1e18, 1e18, [], False, seen=seen))
             return
         if told.ballot != attempt.ballot or attempt.stage not in (Stage.CLAIM, Stage.ASK, Stage.WRITE):
             return
@@ -972,7 +1011,7 @@
             if attempt.reason == "keep":
                 del self.tries[attempt.id]
                 self._lose(attempt.id, attempt.owner)
-            elif attempt.reason == "claim" and attempt.owner in self.alive:
+            elif attempt.reason in ("claim", "find") and attempt.owner in self.alive:
                 attempt.stage, attempt.next_ms = Stage.HAND, now
                 self._step(now, attempt)
             else:
@@ -998,7 +1037,7 @@
                     or len(self.tries) >= TRIES_MOST // 2:
                 continue
             begun += 1
-            self._try(now, Try(id, "orphan", work, now + ORPHAN_MS, [], False))
+            self._try(now, Try(id, "orphan", work, now + ORPHAN_MS, now + ORPHAN_MS, [], False))
 
     def _queue(self, now: float, id: str, owner: str) -> None:
         slot: Slot = self.keeper.slots[id]
--- a/cloverhinge/emulator/keeping.py
+++ b/cloverhinge/emulator/keeping.py
@@ -90,7 +90,8 @@
             return
         self.count += 1
         self.asked[self.count] = fetch
-        self.do(self.custody.claim(self.now, self.count, fetch.id, paid, b"", self.now + WAIT_MS))
+        self.do(self.custody.claim(self.now, self.count, fetch.id, paid, b"", self.now + WAIT_MS,
+                                   self.now + WAIT_MS))
 
     def do(self, actions: list[Action]) -> None:
         world = self.world
--- a/cloverhinge/hls/boxes.py
+++ b/cloverhinge/hls/boxes.py
@@ -220,14 +220,14 @@
             manifest = manifests.parse(body, self.most)
             manifests.rewrite(manifest, url, lambda n: "", float("inf"))
             if not self.router.answered(attempt, body):
-                self._release(attempt.server, ask.name)
+                self.let_go(attempt.server, ask.name)
         except NotSent:
             self.router.attempt_ended(attempt, Outcome.MOOT)
         except (manifests.BadManifest, TooLong) as error:
             # It stands at the box, but nobody can play it.
             self.log.warn("box {box}: {error}", box=attempt.server, error=str(error) or "manifest too long")
             self.router.attempt_ended(attempt, Outcome.ERROR)
-            self._release(attempt.server, ask.name)
+            self.let_go(attempt.server, ask.name)
         except Exception as error:  # whatever became of the connection
             if attempt not in self.out:
                 return  # given up, which broke it off: `give_up` has told the box
@@ -235,7 +235,7 @@
             self.router.attempt_ended(
                 attempt, Outcome.RESET if attempt.written else Outcome.CONNECT_FAILED)
             if attempt.written:
-                self._release(attempt.server, ask.name)
+                self.let_go(attempt.server, ask.name)
         finally:
             self.out.pop(attempt, None)
 
@@ -244,13 +244,13 @@
         if work is not None:
             work.cancel()
         if attempt.written:
-            self._release(attempt.server, attempt.request.ask.name)
+            self.let_go(attempt.server, attempt.request.ask.name)
 
     def release(self, request: Request, cause: Cause) -> None:
         if request.server is not None:
-            self._release(request.server, request.ask.name)
+            self.let_go(request.server, request.ask.name)
 
-    def _release(self, server: int, name: str) -> None:
+    def let_go(self, server: int, name: str) -> None:
         base = self.base(server)
         if base is not None and self.releasing < RELEASES_MOST:
             self.releasing += 1
--- a/cloverhinge/hls/front.py
+++ b/cloverhinge/hls/front.py
@@ -213,6 +213,8 @@
             raise Final(404, "nothing is here")
         if not hmac.compare_digest(name.removesuffix(".m3u8"), self.sign(token, int(number))):
             raise Final(403, "this address was not signed here")
+        if token not in self.plays.by_token and self.plays.custody is not None:
+            await self.plays.custody.find(token)
         play = self.plays.by_token.get(token)
         if play is None:
             raise Final(410, "this session is over")
--- a/cloverhinge/hls/plays.py
+++ b/cloverhinge/hls/plays.py
@@ -9,6 +9,7 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from twisted.internet.defer import Deferred
 
@@ -101,12 +102,28 @@
         self.play.request, self.play.over = None, self.play.paid
 
 
+class Custody(Protocol):
+    """Of plays that other routers may know of."""
+
+    def token(self, key: str) -> str:
+        """The same at each router, so that a session's addresses are good at all."""
+
+    async def claim(self, play: Play) -> None:
+        """Before it is set up: it is this router's then, stands already, or `Final` or `Over` is raised."""
+
+    async def find(self, token: str) -> None:
+        """Takes a session that stands over, where one does; `Final` where that can't be told now."""
+
+    def forgot(self, play: Play) -> None: ...
+
+
 class Plays:
     def __init__(self, router: Router, boxes: Boxes, deadlines: Deadlines, idle_ms: float,
                  new_name: Callable[[], str] = lambda: secrets.token_hex(8)) -> None:
         self.router, self.boxes, self.deadlines, self.idle_ms = router, boxes, deadlines, idle_ms
         self.new_name = new_name
         self.table: Table[Play] = Table(PLAYS_MOST)
+        self.custody: Custody | None = None
         self.by_key: dict[str, Play] = {}
         self.by_token: dict[str, Play] = {}
 
@@ -121,6 +138,8 @@
             raise Final(503, "too many plays", BUSY_MS)
         kind = self.router.classes[class_name]
         play = Play(key, class_name, title_name, title, kind.effect is not Effect.REPEATABLE)
+        if self.custody is not None:
+            play.token = self.custody.token(key)
         play.handle = self.table.put(play)
         self.by_key[key] = self.by_token[play.token] = play
         self.touch(play)
@@ -147,6 +166,8 @@
         self.table.free(play.handle)
         self.by_key.pop(play.key, None)
         self.by_token.pop(play.token, None)
+        if self.custody is not None:
+            self.custody.forgot(play)
 
     async def stand(self, play: Play) -> Request:
         """The session that stands for this play, at a box that may be named; set up where it may be."""
@@ -168,6 +189,11 @@
                 self.router.leave(request)
                 play.request, play.over = None, play.paid
                 continue
+            if request is None and self.custody is not None:
+                await self.custody.claim(play)
+                request = play.request
+                if request is not None and request.state is State.STANDS:
+                    continue  # taken over
             if request is None:
                 self._start(play)
             if play.request is not None and play.request.state is State.OPEN:
@@ -186,7 +212,8 @@
         play.fresh = None
         ask = Ask(self.new_name(), play.class_name, play.title_name, title.first_cell, title.copies,
                   title.ceiling, kind.deadline_us / 1000.0, length_ms=title.length_ms, viewer=play.key,
-                  peer=play.peer, client=play.client, ticket=play.ticket, grain_ms=BUSY_MS)
+                  peer=play.peer, client=play.client, ticket=play.ticket, grain_ms=BUSY_MS,
+                  record=f"h/{play.token}" if self.custody is not None else "")
         request = self.router.take(ask, viewer, self.boxes)
         if request is None:
             raise Final(503, "too many requests", BUSY_MS)
--- /dev/null
+++ b/cloverhinge/lab/media.py
@@ -0,0 +1,138 @@
+"""Media boxes as stand-ins, with both sides of the platform and a record of each session that they hold.
+
+HTTP as `hls/boxes.py` says it, RTSP as the pumps speak it.  A box holds a session from its set-up until it is
+released; what it was asked goes into the run's record, so that checkers need no router's word.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections import Counter
+from contextlib import suppress
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+from cloverhinge.lab.record import Event, Record
+from cloverhinge.lab.stand import WAIT_S, Message, Pump, Wire
+
+MASTER = ("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=800000\n{0}/low.m3u8\n"
+          "#EXT-X-STREAM-INF:BANDWIDTH=1600000\n{0}/high.m3u8\n")
+MEDIA = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXTINF:4,\nseg1.ts\n"
+
+
+class MediaBox(Pump):
+    """`sessions` stand here now, by name, with their titles; set-ups wait while `gate` is closed.
+
+    `before` closed holds a set-up before the box takes it, `after` holds its answer back.
+    """
+
+    def __init__(self, name: str, cell: int, record: Record | None = None) -> None:
+        self.record = record or Record()
+        self.sessions: dict[str, str] = {}
+        self.lock = threading.Lock()
+        self.before, self.after = threading.Event(), threading.Event()
+        self.before.set()
+        self.after.set()
+        self.web = _Server(("127.0.0.1", 0), _handler(self))
+        self.web.daemon_threads = True
+        self.origin = "127.0.0.1:%d" % self.web.server_port
+        threading.Thread(target=self.web.serve_forever, args=(0.05,), daemon=True).start()
+        super().__init__(name, cell)
+        self.script = self.take
+
+    def noted(self, what: str, session: str, title: str = "") -> Event:
+        return self.record.add(self.name, what, session=session, title=title)
+
+    def set_up(self, session: str, title: str) -> None:
+        """In two steps, each of which a test may hold up: it is asked, and it stands."""
+        self.noted("asked", session, title)
+        self.before.wait(WAIT_S)
+        with self.lock:
+            self.sessions[session] = title
+        self.noted("stands", session, title)
+        self.after.wait(WAIT_S)
+
+    def release(self, session: str) -> None:
+        with self.lock:
+            title = self.sessions.pop(session, None)
+        self.noted("released" if title is not None else "released in vain", session, title or "")
+
+    # RTSP
+
+    def take(self, wire: Wire, message: Message) -> None:
+        threading.Thread(target=self._answer, args=(wire, message), daemon=True).start()
+
+    def _answer(self, wire: Wire, message: Message) -> None:
+        self.set_up(message.session, message.start.split()[1].removeprefix("rtsp://media/"))
+        with suppress(OSError):  # the router may be gone
+            wire.send("RTSP/1.0 200 OK", message.session, body=b"made by " + self.name.encode())
+
+    def serve(self, wire: Wire) -> None:
+        while message := wire.read():
+            with suppress(OSError):
+                if message.start.startswith("OPTIONS"):
+                    self.tests += 1
+                    wire.send("RTSP/1.0 200 OK", message.session, 3, X_Circuits=self.load)
+                elif message.start.startswith("SETUP"):
+                    self.script(wire, message)
+                elif message.start.startswith("TEARDOWN"):
+                    self.release(message.session)
+                    wire.send("RTSP/1.0 200 OK", message.session, 2)
+
+    def stop(self, reset: bool = False) -> None:
+        self.before.set()
+        self.after.set()
+        super().stop(reset)
+        self.web.shutdown()
+        self.web.server_close()
+
+
+class _Server(ThreadingHTTPServer):
+    request_queue_size = 64
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """A router that is gone before its answer is no news here."""
+
+
+def _handler(box: MediaBox) -> type[BaseHTTPRequestHandler]:
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def answer(self, status: int, text: str = "") -> None:
+            data = text.encode()
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        def do_PUT(self) -> None:
+            told = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+            name = self.path.split("/")[2]
+            box.set_up(name, told["title"])
+            self.answer(200, MASTER.format(name))
+
+        def do_GET(self) -> None:
+            name = self.path.split("/")[2]
+            if name not in box.sessions:
+                self.answer(404)
+            else:
+                self.answer(200, MEDIA if self.path.endswith(".m3u8") else MASTER.format(name))
+
+        def do_PATCH(self) -> None:
+            self.rfile.read(int(self.headers["Content-Length"]))
+            self.answer(200)
+
+        def do_DELETE(self) -> None:
+            box.release(self.path.split("/")[2])
+            self.answer(200)
+
+        def log_message(self, *_: Any) -> None:
+            pass
+
+    return Handler
+
+
+def set_ups(record: Record) -> Counter[str]:
+    """How often each title was asked for at any box: with a title for each play, set-ups of that play."""
+    return Counter(x.told["title"] for x in record.of("asked"))
--- a/cloverhinge/lab/rig.py
+++ b/cloverhinge/lab/rig.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from cloverhinge.lab.hub import Hub
+from cloverhinge.lab.media import MediaBox
 from cloverhinge.lab.record import Event, Record
 from cloverhinge.lab.stand import ROOT, WAIT_S, ChangeLog, Program, Pump
 
@@ -151,6 +152,9 @@
         self.net = f"127.{10 + place // 250 % 200}.{place % 250}"
         self.record = Record()
         self.hub, self.log = Hub(self.record, seed), ChangeLog()
+        for pump in self.pumps:
+            if isinstance(pump, MediaBox):
+                pump.record = self.record
         self.busy: list[subprocess.Popen[bytes]] = []
         self.routers = [Router(self, n, f"s{n % sites}") for n in range(count)]
 
--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -115,8 +115,9 @@
 class RtspViewer:
     """The core's `Viewer` for one session asked for over RTSP."""
 
-    def __init__(self, front: Front, line: ViewerLine, name: str) -> None:
-        self.front, self.handle, self.peer, self.name = front, line.handle, line.peer, name
+    def __init__(self, front: Front, handle: int, peer: str, name: str) -> None:
+        """`handle` of the connection that it came on; 0: on none of this router's."""
+        self.front, self.handle, self.peer, self.name = front, handle, peer, name
         self.standing = False
 
     def line_done(self) -> ViewerLine | None:
@@ -237,8 +238,14 @@
                 line.send(rtsp.response(403, "1", ask.name, {"X-Why": str(error)}))
                 return
             ask = replace(ask, peer=line.peer, client=client, ticket=message.headers.get("x-ticket", ""))
-        viewer = RtspViewer(self, line, ask.name)
-        if at:
+        viewer = RtspViewer(self, line.handle, line.peer, ask.name)
+        if at and self.router.custody is not None and ask.name in self.router.by_name:
+            held = self.router.by_name[ask.name].viewer  # taken over: its viewer has come
+            if isinstance(held, RtspViewer) and held.standing:
+                held.stands(False)
+                held.handle, held.peer = line.handle, line.peer
+                held.stands(True)
+        elif at:
             if self.router.carry(ask, number_of(at), viewer, self.boxes) is not None:
                 viewer.stands(True)
         elif ask.name in self.router.by_name:
--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -320,7 +321,7 @@
         elif attempt is None or not router.answered(attempt, message.body):
             # Guards against a session that stands for nobody: its set-up was given up while this was coming.
             standing = router.by_name.get(name)
-            if standing is None or standing.server != self.box.number:
+            if (standing is None or standing.server != self.box.number) and not self.pool.handed_on(name):
                 self.tell(release(name, Cause.CANCELLED))
 
     def told(self, line: PumpLine, message: rtsp.Message) -> None:
@@ -404,6 +405,7 @@
         self.unlisted: list[Pump] = []
         self.probe_count = 0
         router.prober = self
+        self.handed_on: Callable[[str], bool] = lambda name: False  # another router has it by now
 
     def start(self) -> None:
         self._sweep()
@@ -455,6 +457,12 @@
         if pump is not None:
             pump.tell(release(request.ask.name, cause))
 
+    def let_go(self, server: int, name: str) -> None:
+        """What another router may have left there under this name."""
+        pump = self.pumps.get(server)
+        if pump is not None:
+            pump.tell(release(name, Cause.CANCELLED))
+
     def set_rung(self, request: Request, rung: int) -> None:
         pump = self.pumps.get(request.server or 0)
         if pump is not None:
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -28,6 +28,7 @@
 
 ACCEPT_AFTER_TERM_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
 FLUSH_MS = 150.0  # for what has been written at the end to leave
+HAND_OVER_MS = 3000.0  # for the others to take what this one had: two leases
 BACKLOG = 256
 PUBLISH_MS = 1000.0  # pace at which the facts for other routers are looked at
 
@@ -78,6 +79,13 @@
 
             self.members = Link(reactor, site.members, config.name, self.clock, self.deadlines, config.seed)
             self.parts.append(self.members)
+        self.custody: Any = None  # of work in hand, where it is wanted
+        if site.custody is not None:
+            from cloverhinge.custody.part import Part as Custody  # loaded only where routers keep work
+
+            self.custody = Custody(site.custody, self.members, self.router, self.pumps, self.front,
+                                   self.clock, self.deadlines, config.seed)
+            self.parts.append(self.custody)
         self.started_ms = self.clock.now()
 
     def start(self) -> None:
@@ -91,7 +99,10 @@
         self.log.info("{name}: listening on {host}:{port}, {boxes} boxes known", name=self.config.name,
                       host=host, port=self.port.getHost().port, boxes=len(self.boxes))
         if self.site.admin is not None:
-            admin = reactor.listenTCP(self.site.admin[1], Admin(self.status), interface=self.site.admin[0])
+            commands: dict[str, Callable[[str], dict[str, Any]]] = (
+                {} if self.custody is None else {"custody": self.custody.look})
+            admin = reactor.listenTCP(self.site.admin[1], Admin(self.status, commands),
+                                      interface=self.site.admin[0])
             self.log.info("{name}: admin on 127.0.0.1:{port}", name=self.config.name,
                           port=admin.getHost().port)
         if self.site.hls is not None:
@@ -123,6 +134,8 @@
         held = self.plays = plays.Plays(self.router, boxes, self.deadlines, site.idle_ms)
         root = front.Front(site, self.router, boxes, held, self._proof,
                            None if self.gate is None else self.gate.clients.identify)
+        if self.custody is not None:
+            self.custody.with_hls(held, boxes, site.titles, site.key, site.idle_ms)
         host, port = site.listen
         wired = front.factory(root, self.config.sockets // 4, self.deadlines)
         web = reactor.listenTCP(port, wired, backlog=BACKLOG, interface=host)
@@ -215,6 +228,12 @@
     def _when_answered(self) -> None:
         if self.router.open == 0:
             self.router.on_open = lambda: None
+            self._when_handed(self.clock.now() + HAND_OVER_MS)
+
+    def _when_handed(self, until_ms: float) -> None:
+        if self.custody is not None and self.custody.busy and self.clock.now() < until_ms:
+            self.deadlines.after(FLUSH_MS, lambda: self._when_handed(until_ms))
+        else:
             self.deadlines.after(FLUSH_MS, reactor.stop)
 
 
--- a/cloverhinge/site/__init__.py
+++ b/cloverhinge/site/__init__.py
@@ -7,9 +7,19 @@
 
 from pathlib import Path
 
-from cloverhinge.site.model import AcmeSite, ClientSite, DoorSite, HlsSite, MembersSite, Site, Title
-
-__all__ = ["AcmeSite", "ClientSite", "DoorSite", "HlsSite", "MembersSite", "Site", "Title", "read"]
+from cloverhinge.site.model import (
+    AcmeSite,
+    ClientSite,
+    CustodySite,
+    DoorSite,
+    HlsSite,
+    MembersSite,
+    Site,
+    Title,
+)
+
+__all__ = ["AcmeSite", "ClientSite", "CustodySite", "DoorSite", "HlsSite", "MembersSite", "Site", "Title",
+           "read"]
 
 
 def read(path: Path) -> Site:
--- a/cloverhinge/site/model.py
+++ b/cloverhinge/site/model.py
@@ -75,6 +75,16 @@
     watch: int
 
 
+@dataclass(frozen=True, slots=True)
+class CustodySite:
+    """Work in hand that outlives its router; times in ms."""
+
+    routers: int  # that the installation has
+    keepers: int  # routers that may be lost at once
+    lease_ms: float
+    serve: bool  # where the keepers can't be reached: serve without them
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     hls: HlsSite | None = None
@@ -82,3 +92,4 @@
     admin: tuple[str, int] | None = None
     door: DoorSite | None = None
     members: MembersSite | None = None
+    custody: CustodySite | None = None
--- a/cloverhinge/site/schema.py
+++ b/cloverhinge/site/schema.py
@@ -9,13 +9,22 @@
 import tomllib
 from ipaddress import ip_network
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
 
 from cloverhinge.core.told import ConfigError, address
-from cloverhinge.site.model import AcmeSite, ClientSite, DoorSite, HlsSite, MembersSite, Site, Title
+from cloverhinge.site.model import (
+    AcmeSite,
+    ClientSite,
+    CustodySite,
+    DoorSite,
+    HlsSite,
+    MembersSite,
+    Site,
+    Title,
+)
 
 KEY_SHORTEST = 32  # characters, of keys that sign for the router
 CLIENT_KEY_SHORTEST = 16  # of keys under which a client's page vouches
@@ -23,7 +32,7 @@
 CLIENTS_MOST = 64  # each may have a bucket and a table of its own in memory
 OTHERS = "others"  # the client of all whom nobody vouches for
 NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
-TABLES = ("hls", "acme", "admin", "door", "clients", "members")
+TABLES = ("hls", "acme", "admin", "door", "clients", "members", "custody")
 
 Positive = Annotated[float, Meta(gt=0)]
 Whole = Annotated[int, Meta(ge=0)]
@@ -93,6 +102,13 @@
     watch: Annotated[int, Meta(ge=3, le=16)] = 6
 
 
+class CustodyTable(Table):
+    routers: Annotated[int, Meta(ge=1, le=128)]
+    keepers: Annotated[int, Meta(ge=1, le=4)] = 2
+    lease_ms: Annotated[float, Meta(ge=300, le=60_000)] = 1500.0
+    when_unkept: Literal["refuse", "serve"] = "refuse"
+
+
 def read(path: Path) -> Site:
     try:
         told = tomllib.loads(path.read_text(encoding="utf-8"))
@@ -122,7 +138,10 @@
         raise ValueError("clients: clients queue at the door, which has no table here")
     door = parse_door(told["door"], told.get("clients", {})) if "door" in told else None
     members = parse_members(told["members"]) if "members" in told else None
-    return Site(hls, parse_acme(told["acme"]) if "acme" in told else None, admin, door, members)
+    if "custody" in told and members is None:
+        raise ValueError("custody: work is kept by the members, which have no table here")
+    custody = parse_custody(told["custody"]) if "custody" in told else None
+    return Site(hls, parse_acme(told["acme"]) if "acme" in told else None, admin, door, members, custody)
 
 
 def table(told: Any, kind: type[S], path: str) -> S:
@@ -239,3 +258,8 @@
         join=tuple(where(text, f"members.join[{at}]", 1) for at, text in enumerate(own.join)),
         site=own.site, keys=tuple(keys), probe_ms=own.probe_ms, quiet_ms=own.quiet_ms, out_ms=own.out_ms,
         watch=own.watch)
+
+
+def parse_custody(told: Any) -> CustodySite:
+    own = table(told, CustodyTable, "custody")
+    return CustodySite(own.routers, own.keepers, own.lease_ms, own.when_unkept == "serve")
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -95,7 +95,7 @@
         return line
 
     holding, resting, silent, later = (connect(spoken) for spoken in (True, True, False, False))
-    RtspViewer(front, holding, "s").stands(True)
+    RtspViewer(front, holding.handle, holding.peer, "s").stands(True)
     for goes in (silent, later, resting):
         assert not goes.gone
         connect(True)
