Custody: eight tests with five to seven processes; a box numbered 0 is a box

Kills between send and answer, before the viewer is told, of owner and keepers; pauses; two fetches at once; a rolling restart of all: every session goes on, none is set up twice. A hand-over that met an answer on its way left the fetch without one: it is told first.

--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -231,6 +231,7 @@
         self._looked_ms = -1e12
         self._purged = True
         self._stuck = ""
+        self._votes_in = 0, 0
 
     # What may be asked at any time
 
@@ -577,6 +578,9 @@
             self.peers[x.who].lineage == 0 for x in wanted)
         for to, item in self.rosters.due(now, wanted, self.runs, self._settled, fresh, lived):
             self._to(to, item)
+        if self.rosters.active and self._votes_in != self._roster:
+            self._votes_in = self._roster
+            self._out.append(Say(f"votes in roster {self.rosters.number}"))
         if self.rosters.stuck != self._stuck:
             self._stuck = self.rosters.stuck
             self._out.append(Say(self._stuck or "enough routers are here to keep work"))
--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -52,7 +52,7 @@
     title: str
     key: str  # the player's play id, or the viewer
     name: str = ""  # the session's, as its box knows it
-    server: int = 0  # its box; 0: none yet
+    server: int = -1  # its box; -1: none yet
     rung: int | None = None
     first_cell: int = 0
     copies: int = 0
@@ -155,7 +155,7 @@
 
     def _box(self, server: int) -> str:
         pump = self.pumps.pumps.get(server)
-        return f"s-{server:08x}" if pump is None and server else "" if pump is None else pump.box.name
+        return pump.box.name if pump is not None else f"s-{server:08x}" if server >= 0 else ""
 
     # Membership's side
 
@@ -242,9 +242,11 @@
     def _paid(request: Request) -> bool:
         return request.kind.effect is not Effect.REPEATABLE
 
-    def _kept(self, request: Request, server: int = 0, answer: bytes = b"") -> Kept:
-        ask = request.ask
-        return Kept(ask.class_name, ask.title, ask.viewer, ask.name if server else "", server, request.rung,
+    @staticmethod
+    def _kept(request: Request, server: int | None, answer: bytes = b"") -> Kept:
+        """`server`: where it stands, or may; None: nowhere."""
+        ask, at = request.ask, -1 if server is None else server
+        return Kept(ask.class_name, ask.title, ask.viewer, ask.name if at >= 0 else "", at, request.rung,
                     ask.first_cell, ask.copies, ask.ceiling, ask.length_ms, ask.peer,
                     answer if len(answer) <= ANSWER_MOST and not ask.record else b"")
 
@@ -285,13 +287,13 @@
         if verdict not in (Verdict.NEW, Verdict.TAKEN) or work is None:
             return
         kept = read(work)
-        if kept is not None and kept.server and kept.server != request.server and kept.name == \
+        if kept is not None and kept.server >= 0 and kept.server != request.server and kept.name == \
                 request.ask.name and (request.attempt is None or request.attempt.server != kept.server):
             self.pumps.let_go(kept.server, kept.name)  # what an earlier owner had under way
         if request.state is State.STANDS:
-            self._update(id, Phase.STANDS, self._kept(request, request.server or 0))
+            self._update(id, Phase.STANDS, self._kept(request, request.server))
         elif request.state is State.OVER:
-            self._update(id, Phase.OVER, self._kept(request))
+            self._update(id, Phase.OVER, self._kept(request, None))
 
     def may_write(self, attempt: Attempt) -> bool:
         request, id = attempt.request, self._id(attempt.request)
@@ -308,7 +310,7 @@
         return False
 
     def stands(self, request: Request, answer: bytes) -> None:
-        id, kept = self._id(request), self._kept(request, request.server or 0, answer)
+        id, kept = self._id(request), self._kept(request, request.server, answer)
         if id not in self.core.held:
             request.viewer.served(answer)
             if id not in self.core.tries:
@@ -323,7 +325,7 @@
         self._update(id, Phase.STANDS, kept)
 
     def _copy(self, request: Request) -> None:
-        self._claim(self._id(request), self._paid(request), self._kept(request, request.server or 0), SOON_MS,
+        self._claim(self._id(request), self._paid(request), self._kept(request, request.server), SOON_MS,
                     self.clock.now() + SOON_MS, lambda verdict, work: self._copied(request, verdict, work))
 
     def _tell(self, id: str, only: Request | None = None) -> None:
@@ -358,7 +360,7 @@
             phase = Phase.INTENT  # the play stays, and may be set up again
         else:
             phase = Phase.OVER
-        self._update(id, phase, self._kept(request))
+        self._update(id, phase, self._kept(request, request.server if phase is Phase.FAILED else None))
 
     def release(self, request: Request, cause: Cause) -> None:
         """Guards a successor's session: this router may have slept, or be cut off, and not know of it."""
@@ -381,7 +383,7 @@
         if found is not None and found.phase is Phase.INTENT and found.owner != work.owner \
                 or work.phase is Phase.DOOMED:
             left = read(work if found is None or found.phase is not Phase.INTENT else found)
-            if left is not None and left.server:
+            if left is not None and left.server >= 0:
                 self._let_go(id, left)
         if work.phase is Phase.INTENT and not work.paid and id not in self.core.tries:
             if not self._wanted(id):
@@ -389,6 +391,10 @@
         elif work.phase is Phase.STANDS:
             kept = read(work)
             if kept is None or not self._adopt(id, kept):
+                why = ("it is of another version" if kept is None else "its box is not listed"
+                       if kept.server not in self.router.listings else "no room, or its title is unknown")
+                self.log.warn("{name}: custody: {id} can't go on here: {why}", name=self.members.name, id=id,
+                              why=why)
                 self._act(self.core.update(self.clock.now(), id, Phase.OVER, work.body))
 
     def _wanted(self, id: str) -> bool:
@@ -406,7 +412,7 @@
 
     def _adopt(self, id: str, kept: Kept) -> bool:
         """A session that stands goes on here; False where it can't."""
-        if kept.class_name not in self.router.classes or not kept.server:
+        if kept.class_name not in self.router.classes or kept.server < 0:
             return False
         ask = Ask(kept.name, kept.class_name, kept.title, kept.first_cell, kept.copies, kept.ceiling, 0.0,
                   length_ms=kept.length_ms, viewer=kept.key, peer=kept.peer,
@@ -453,8 +459,12 @@
         if id.startswith("h/"):
             play = None if self.plays is None else self.plays.by_token.get(id[2:])
             if play is not None and self.plays is not None:
-                request, play.request = play.request, None
+                request = play.request
+                if request is not None:
+                    self._tell(id, request)  # what waits to be told of it is answered from here still
+                play.request = None
                 self.plays.forget(play)
+                play.wake(Final(503, "another router has this play now", BUSY_MS))
         else:
             request = self.router.by_name.get(id[2:])
         if request is not None:
--- a/cloverhinge/hls/plays.py
+++ b/cloverhinge/hls/plays.py
@@ -172,6 +172,8 @@
     async def stand(self, play: Play) -> Request:
         """The session that stands for this play, at a box that may be named; set up where it may be."""
         for _ in range(3):  # what was set up may have to be set up elsewhere once
+            if self.custody is not None and self.by_key.get(play.key) is not play:
+                raise Final(503, "another router has this play now", BUSY_MS)
             if play.over:
                 raise Over
             if play.verdict is not None:
--- a/cloverhinge/lab/rig.py
+++ b/cloverhinge/lab/rig.py
@@ -44,6 +44,7 @@
         self.ports: dict[str, tuple[str, int]] = {}
         self.view: tuple[int, str, int] | None = None  # number, digest, members in it
         self.lives = 0
+        self.begun_ms = 0.0  # of this run
         self.readers: list[threading.Thread] = []
 
     @property
@@ -65,7 +66,7 @@
             [sys.executable, *rig.program, "serve", "--site", str(self.folder / "site.toml")], cwd=ROOT,
             stderr=subprocess.PIPE, text=True,
             env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")})
-        rig.record.add(self.name, "started", life=self.lives)
+        self.begun_ms = rig.record.add(self.name, "started", life=self.lives).ms
         self.readers = [x for x in self.readers if x.is_alive()]
         self.readers.append(threading.Thread(target=self._read, args=(self.process,), daemon=True))
         self.readers[-1].start()
--- a/tests/test_lab_custody.py
+++ b/tests/test_lab_custody.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import re
+import threading
+import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
+from cloverhinge import console
 from cloverhinge.lab.media import MediaBox, set_ups
-from cloverhinge.lab.rig import Rig, rig
+from cloverhinge.lab.rig import Rig, Router, rig
 from cloverhinge.lab.viewers import custody_tables, play
 
 SOON_S = 20.0  # for what has to come, also on a busy machine
@@ -22,7 +27,7 @@
 @contextmanager
 def keeping(folder: Path, count: int = 5, titles: int = 20, **more: Any) -> Iterator[Rig]:
     boxes = [MediaBox(f"s-{n:08x}", n % 3) for n in range(4)]
-    tables = custody_tables([x.name for x in boxes], [x.origin for x in boxes], titles, count)
+    tables = custody_tables([x.name for x in boxes], [x.origin for x in boxes], titles, count, idle_s=120.0)
     with rig(folder, count, pumps=boxes, tables=tables, **more) as made:
         until_rostered(made)
         yield made
@@ -31,13 +36,22 @@
 
 
 def until_rostered(made: Rig) -> None:
-    """All that run hold one roster of just them, and it has been seen by each."""
-    names = sorted(x.name for x in made.routers if x.running)
+    """All that run vote in one roster of just them, as their logs say."""
+    here = [x for x in made.routers if x.running]
+    names = ", ".join(sorted(x.name for x in here))
 
     def rostered() -> bool:
-        told = [x.status()["custody"]["roster"] for x in made.routers if x.running]
-        return all(x is not None and x["members"] == names and x["votes"] for x in told) and len(
-            {x["number"] for x in told}) == 1
+        numbers = set()
+        for router in here:
+            lines = [x.told["line"] for x in made.record.of("log", router.name, router.begun_ms)
+                     if " custody: " in x.told["line"]]
+            roster = [x for x in lines if " custody: roster " in x]
+            found = re.search(r"custody: roster (\d+): ([^;]*)", roster[-1]) if roster else None
+            if found is None or found[2] != names or not any(
+                    x.endswith(f"votes in roster {found[1]}") for x in lines):
+                return False
+            numbers.add(found[1])
+        return len(numbers) == 1
 
     made.record.until(rostered, SOON_S, f"one roster of {names}")
 
@@ -52,3 +66,157 @@
             code, text = play(made, made[3], number, kind)
             assert code == 200 and "/session/" in text, (code, text, made.record.tail())
         assert status(made, 3)["owned"] >= 2
+
+
+def later(made: Rig, call: Any) -> threading.Thread:
+    thread = threading.Thread(target=call, daemon=True)
+    thread.start()
+    return thread
+
+
+def asked(made: Rig, title: str) -> bool:
+    return any(x.told["title"] == title for x in made.record.of("asked"))
+
+
+def stands(made: Rig, title: str) -> bool:
+    return any(x.told["title"] == title for x in made.record.of("stands"))
+
+
+def until(made: Rig, what: str, holds: Any) -> None:
+    made.record.until(holds, SOON_S, what)
+
+
+def final(made: Rig, router: Router, number: int, kind: str = "paid") -> tuple[int, str]:
+    """Comes back as long as it is told to."""
+    deadline = time.monotonic() + SOON_S
+    while True:
+        code, text = play(made, router, number, kind)
+        if code != 503 or time.monotonic() > deadline:
+            return (410 if "ENDLIST" in text else code), text
+
+
+def test_killed_between_the_send_and_the_answer_a_paid_play_has_failed_for_good(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        boxes = [x for x in made.pumps if isinstance(x, MediaBox)]
+        for box in boxes:
+            box.before.clear()
+        first = later(made, lambda: play(made, made[1], 0))
+        until(made, "the set-up has left", lambda: asked(made, "t0"))
+        made[1].kill()
+        first.join(SOON_S)
+        for box in boxes:
+            box.before.set()
+        assert final(made, made[2], 0)[0] == 502
+        assert final(made, made[4], 0)[0] == 502
+        until(made, "what it left is released", lambda: any(
+            x.told["title"] == "t0" for x in made.record.of("released")))
+
+
+def test_killed_once_the_box_has_it_before_the_viewer_is_told(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        boxes = [x for x in made.pumps if isinstance(x, MediaBox)]
+        for box in boxes:
+            box.after.clear()
+        first = later(made, lambda: play(made, made[1], 0))
+        until(made, "it stands at the box", lambda: stands(made, "t0"))
+        made[1].kill()
+        first.join(SOON_S)
+        for box in boxes:
+            box.after.set()
+        assert final(made, made[2], 0)[0] == 502
+        until(made, "what it left is released", lambda: any(
+            x.told["title"] == "t0" for x in made.record.of("released")))
+
+
+def test_owner_and_one_keeper_killed_and_owner_and_all_keepers(tmp_path: Path) -> None:
+    with keeping(tmp_path, 7) as made:
+        assert play(made, made[0], 0)[0] == 200
+        told = custody_of(made, 0, 0)
+        keeper = next(x for x in told["keepers"] if x != "r0")
+        made[0].kill()
+        made[int(keeper[1:])].kill()
+        alive = [x for x in made.routers if x.running]
+        assert final(made, alive[0], 0)[0] == 200
+        until_rostered(made)
+        owner = alive[0]
+        told = custody_of(made, owner.number, 0)
+        gone = {owner.name, *told["keepers"]}
+        for router in alive:
+            if router.name in gone:
+                router.kill()
+        left = [x for x in made.routers if x.running]
+        for router in made.routers:
+            if not router.running:
+                router.start()
+        for router in made.routers:
+            router.until_started()
+        # Nobody remembers it: what may have run is never set up again.
+        assert final(made, left[0], 0)[0] == 502
+        assert final(made, made[0], 0)[0] == 502
+
+
+def custody_of(made: Rig, number: int, play_number: int) -> dict[str, Any]:
+    told: dict[str, Any] = console.ask(made[number].ports["admin"], f"custody play-{play_number:08d}")
+    return told
+
+
+def test_the_owner_that_was_paused_gives_up_what_it_lost(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        assert play(made, made[1], 0)[0] == 200
+        made[1].pause()
+        assert final(made, made[2], 0)[0] == 200
+        made[1].wake()
+        until(made, "it has given the play up", lambda: status(made, 1)["fenced"] >= 1)
+        assert play(made, made[2], 0)[0] == 200
+        assert not any(made.record.of("released"))
+        assert final(made, made[1], 0)[0] == 200  # handed back by the other's word
+        assert status(made, 2)["handed_over"] == 1 and not any(made.record.of("released"))
+
+
+def test_a_set_up_about_to_leave_does_not_after_a_pause(tmp_path: Path) -> None:
+    """Stopped once its intent is kept: its connections are held, so that nothing can have left."""
+    with keeping(tmp_path) as made:
+        boxes = [x for x in made.pumps if isinstance(x, MediaBox)]
+        for box in boxes:
+            box.before.clear()
+        first = later(made, lambda: play(made, made[1], 0))
+        until(made, "the set-up has left", lambda: asked(made, "t0"))
+        made[1].pause()
+        for box in boxes:
+            box.before.set()
+        code = final(made, made[2], 0)[0]
+        assert code == 502
+        made[1].wake()
+        first.join(SOON_S)
+        answers = [x.told["status"] for x in made.record.of("answer") if x.told["at"] == "r1"]
+        assert answers and 200 not in answers
+        until(made, "what it left is released", lambda: any(
+            x.told["title"] == "t0" for x in made.record.of("released")))
+
+
+def test_two_fetches_at_two_routers_at_once_are_one_set_up(tmp_path: Path) -> None:
+    with keeping(tmp_path, titles=60) as made:
+        def both(number: int) -> None:
+            with ThreadPoolExecutor(2) as pool:
+                at = made[number % 5], made[(number + 2) % 5]
+                codes = list(pool.map(lambda router: final(made, router, number)[0], at))
+            assert codes == [200, 200], (number, codes)
+
+        for number in range(60):
+            both(number)
+        assert set_ups(made.record) == {f"t{n}": 1 for n in range(60)}
+
+
+def test_a_rolling_restart_of_all_ends_no_session(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        for number in range(10):
+            assert play(made, made[number % 5], number)[0] == 200
+        for router in made.routers:
+            assert router.terminate() == 0
+            router.start()
+            router.until_started()
+            until_rostered(made)
+        for number in range(10):
+            assert final(made, made[(number + 3) % 5], number)[0] == 200
+        assert not any(made.record.of("released")), made.record.tail()
+        assert sum(status(made, x)["owned"] for x in range(5)) == 10
