--- /dev/null
+++ b/benchmarks/custody.py
@@ -0,0 +1,345 @@
+"""Custody measured: on real processes behind the lab's hub, and its records alone where there are many.
+
+    python -m benchmarks.custody [kills [N] | wait | setups | records | soak [MINUTES]] ...
+
+Without a part all are run (an hour, half of it the soak); with parts, the others keep their last figures,
+which docs/results/custody.json holds.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from benchmarks.members import OPTIMIZED, Rows, figures, share
+from benchmarks.tables import RESULTS, keep
+from cloverhinge.custody import core
+from cloverhinge.custody.register import Phase
+from cloverhinge.custody.wire import Member
+from cloverhinge.lab.media import MediaBox, set_ups
+from cloverhinge.lab.rig import Rig, Router, rig
+from cloverhinge.lab.stand import Quick, answer
+from cloverhinge.lab.viewers import custody_tables, play, set_up
+
+PLAYS = 10  # at a router when it is killed
+SOON_S = 30.0
+
+
+@contextmanager
+def keeping(folder: Path, on: bool, count: int = 5, titles: int = 2000, **more: Any) -> Iterator[Rig]:
+    boxes = [MediaBox(f"s-{n:08x}", n % 3) for n in range(4)]
+    tables = custody_tables([x.name for x in boxes], [x.origin for x in boxes], titles, count, idle_s=600.0)
+    if not on:
+        tables = tables[tables.index("[hls]"):]
+    with rig(folder, count, pumps=boxes, tables=tables, program=OPTIMIZED, **more) as made:
+        if on:
+            until_rostered(made)
+        yield made
+
+
+def custody(router: Router) -> dict[str, Any]:
+    told: dict[str, Any] = router.status()["custody"]
+    return told
+
+
+def until(made: Rig, what: str, holds: Any, pause_s: float = 0.02) -> None:
+    deadline = time.monotonic() + SOON_S
+    while not holds():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"{what}: not within {SOON_S:.0f} s\n{made.record.tail()}")
+        made.record.pause(pause_s)
+
+
+def until_rostered(made: Rig) -> None:
+    names = sorted(x.name for x in made.routers if x.running)
+
+    def rostered() -> bool:
+        told = [custody(x)["roster"] for x in made.routers if x.running]
+        return all(x is not None and x["members"] == names and x["votes"] for x in told)
+
+    until(made, "one roster", rostered)
+
+
+def final(made: Rig, router: Router, number: int) -> int:
+    deadline = time.monotonic() + SOON_S
+    while True:
+        code, text = play(made, router, number)
+        if code != 503 or time.monotonic() > deadline:
+            return 410 if "ENDLIST" in text else code
+
+
+def killed(on: bool, kills: int) -> dict[str, object]:
+    """A router with ten paid plays that stand is killed; the same plays are fetched at others."""
+    draw, number, owned, answers = random.Random(3), 0, [], Counter[int]()
+    with tempfile.TemporaryDirectory() as name, keeping(Path(name), on) as made:
+        for _ in range(kills):
+            victim = made[draw.randrange(5)]
+            plays = range(number, number + PLAYS)
+            number += PLAYS
+            for one in plays:
+                assert play(made, victim, one)[0] == 200
+            others = [x for x in made.routers if x is not victim]
+            before = sum(custody(x)["owned"] for x in others) if on else 0
+            at = made.record.now()
+            victim.kill()
+            if on:
+                until(made, "all are owned again", lambda others=others, before=before: sum(
+                    custody(x)["owned"] for x in others) >= before + PLAYS)
+                owned.append(made.record.now() - at)
+            for one in plays:
+                answers[final(made, draw.choice(others), one)] += 1
+            victim.start()
+            victim.until_started()
+            made.until_agreed(seconds=30.0)
+            if on:
+                until_rostered(made)
+        counts = set_ups(made.record)
+        twice = sum(x > 1 for x in counts.values())
+        released = sum(1 for _ in made.record.of("released"))
+    row: dict[str, object] = {
+        "custody": "on" if on else "off", "kills": kills, "paid plays": number, "answered 200": answers[200],
+        "other answers": str({k: v for k, v in answers.items() if k != 200} or "none"),
+        "set up twice": twice, "ended at the boxes": released}
+    told = figures(owned) if owned else {"p50 ms": "", "p99 ms": "", "most ms": ""}
+    return row | {f"owned again, {k}": v for k, v in told.items() if k != "n"}
+
+
+def kills(count: int = 100) -> Rows:
+    return [killed(False, max(5, count // 10)), killed(True, count)]
+
+
+def paced(made: Rig, router: Router, kind: str, first: int, count: int) -> list[float]:
+    """Set-ups over RTSP one after the other on one connection; ms until each answer."""
+    took = []
+    wire, _ = set_up(made, router, f"{first:016x}", "t0", kind)
+    for number in range(first + 1, first + count):
+        session, begun = f"{number:016x}", time.monotonic()
+        wire.send("SETUP rtsp://media/t0 RTSP/1.0", session, X_Call_Class=kind, X_Ring_Limit="2500",
+                  X_Dest="home:0;copies:3;top:1")
+        told = answer(wire)
+        took.append((time.monotonic() - begun) * 1000.0)
+        assert told.status == 200, told.start
+        wire.send("TEARDOWN rtsp://media/x RTSP/1.0", session, 2)
+        answer(wire)
+    wire.close()
+    return took
+
+
+def quick(folder: Path, on: bool) -> Any:
+    boxes = [Quick(f"s-{n:08x}", n) for n in range(2)]
+    return rig(folder, 5, pumps=boxes, gated=False, program=OPTIMIZED,
+               tables="[custody]\nrouters = 5\n" if on else "")
+
+
+def waits(count: int = 1000) -> Rows:
+    """The same set-ups at a router of five with custody and one of five without, by turns."""
+    took: dict[tuple[str, str], list[float]] = {}
+    with tempfile.TemporaryDirectory() as name:
+        (Path(name) / "on").mkdir()
+        (Path(name) / "off").mkdir()
+        with quick(Path(name) / "on", True) as on, quick(Path(name) / "off", False) as off:
+            until_rostered(on)
+            for turn in range(10):
+                for kind in ("paid", "free"):
+                    for word, made in (("off", off), ("on", on)):
+                        first = turn * 10_000 + 1 + (5000 if kind == "paid" else 0)
+                        took.setdefault((kind, word), []).extend(
+                            paced(made, made[0], kind, first, count // 10))
+    rows: Rows = []
+    for kind in ("paid", "free"):
+        for word in ("off", "on"):
+            values = took[kind, word]
+            rows.append({"class": kind, "custody": word, "n": len(values), "p50 ms": share(values, 0.5),
+                         "p99 ms": share(values, 0.99), "most ms": max(values)})
+    return rows
+
+
+def setups(rounds: int = 6, seconds: float = 1.5) -> Rows:
+    """Closed loop of six lines at one router of five, by turns with custody and without."""
+    from concurrent.futures import ProcessPoolExecutor
+    from multiprocessing import get_context
+
+    from benchmarks.members import load
+
+    seen: dict[str, list[tuple[int, float, list[float]]]] = {"off": [], "on": []}
+    viewers = ProcessPoolExecutor(1, mp_context=get_context("spawn"))
+    with tempfile.TemporaryDirectory() as name, viewers as pool:
+        for turn in range(rounds):
+            folder = Path(name) / str(turn)
+            for word in ("on", "off"):
+                (folder / word).mkdir(parents=True)
+            with quick(folder / "on", True) as on, quick(folder / "off", False) as off:
+                until_rostered(on)
+                for part in range(4):
+                    for word, made in (("off", off), ("on", on))[::1 if part % 2 else -1]:
+                        process = made[0].process
+                        assert process is not None
+                        seen[word].append(pool.submit(
+                            load, made[0].ports["listening"], process.pid, seconds).result())
+    rows: Rows = []
+    for word, all_ in seen.items():
+        count = sum(x[0] for x in all_)
+        rows.append({"custody": word, "set-ups a second": count / len(all_) / seconds,
+                     "a second of its processor": count / sum(x[1] for x in all_),
+                     "p99 ms": share([y for x in all_ for y in x[2]], 0.99)})
+    off_, on_ = rows
+    rows.append({"custody": "on, of off", **{k: f"{float(str(on_[k])) / float(str(off_[k])):.0%}"
+                                             for k in off_ if k != "custody"}})
+    return rows
+
+
+class Machines:
+    """Three routers' machines in one process, messages carried by hand."""
+
+    def __init__(self) -> None:
+        members = [Member(f"r{n}", n + 1, "main") for n in range(3)]
+        self.machines = {x.who: core.Custody(x, core.Rules(routers=3), x.run) for x in members}
+        self.now, self.bytes = 1000.0, 0
+        for machine in self.machines.values():
+            machine.view({x: 1 for x in members}, False, {})
+        self.tick(100)
+        self.owner = self.machines[members[0].who]
+
+    def act(self, own: str, actions: list[core.Action]) -> None:
+        for action in actions:
+            if isinstance(action, core.Send):
+                self.bytes += len(action.body)
+                other = self.machines[action.to.who]
+                self.act(action.to.who, other.heard(self.now, self.machines[own].own, action.body))
+
+    def tick(self, times: int = 1) -> None:
+        for _ in range(times):
+            self.now += core.TICK_MS
+            for who, machine in self.machines.items():
+                self.act(who, machine.due(self.now))
+
+    def take(self, number: int, body: bytes) -> None:
+        id, owner = f"h/{number:032x}", self.owner
+        self.act(owner.who, owner.claim(self.now, number, id, True, body, self.now + 500, self.now + 500))
+        self.act(owner.who, owner.update(self.now, id, Phase.STANDS, body))
+
+
+def records() -> Rows:
+    """Bytes and time a session."""
+    rows: Rows = []
+    for count in (1000, 10_000, 50_000):
+        made, body = Machines(), b"x" * 120  # what a front keeps of a session, about
+        begun, before = time.process_time(), made.bytes
+        for number in range(count):
+            made.take(number, body)
+            if number % 100 == 0:
+                made.tick()
+        took, size = time.process_time() - begun, made.bytes - before
+        assert len(made.owner.held) == count
+        begun = time.process_time()
+        made.tick(80)  # two seconds
+        idle = (time.process_time() - begun) / 2.0 / 3.0
+        del made
+        tracemalloc.start()
+        made = Machines()
+        for number in range(min(count, 10_000)):
+            made.take(number, body)
+        held = tracemalloc.get_traced_memory()[0] / min(count, 10_000)
+        tracemalloc.stop()
+        rows.append({"sessions": count, "bytes held a session, three routers": held,
+                     "bytes sent a session": size / count, "us a session, three routers": took / count * 1e6,
+                     "processor of one router when nothing happens": f"{idle:.2%}"})
+    return rows
+
+
+def soak(minutes: float) -> Rows:
+    """Random kills, pauses, cuts and losses; viewers come at any router and come again elsewhere."""
+    draw, answers, faults = random.Random(17), Counter[str](), Counter[str]()
+    with tempfile.TemporaryDirectory() as name, keeping(Path(name), True, titles=20_000) as made:
+        until_ms, number = made.record.now() + minutes * 60_000.0, 0
+        paused: dict[int, float] = {}
+        dead: dict[int, float] = {}
+        while made.record.now() < until_ms:
+            now = made.record.now()
+            for at, when in list(paused.items()):
+                if now >= when:
+                    made[at].wake()
+                    del paused[at]
+            for at, when in list(dead.items()):
+                if now >= when:
+                    made[at].start()
+                    made[at].until_started()
+                    del dead[at]
+            here = [x for x in range(5) if x not in paused and x not in dead]
+            dice = draw.random()
+            if dice < 0.04 and not dead and len(here) > 3:
+                at = draw.choice(here)
+                made[at].kill()
+                dead[at] = now + draw.uniform(500.0, 6000.0)
+                faults["kills"] += 1
+            elif dice < 0.08 and not paused and len(here) > 3:
+                at = draw.choice(here)
+                made[at].pause()
+                paused[at] = now + draw.uniform(100.0, 5000.0)
+                faults["pauses"] += 1
+            elif dice < 0.10:
+                at = draw.choice(here)
+                made.hub.cut([f"r{at}"], [f"r{x}" for x in range(5) if x != at], both=draw.random() < 0.5)
+                faults["cuts"] += 1
+            elif dice < 0.16:
+                made.hub.heal()
+                made.hub.every(loss=draw.choice((0.0, 0.0, 0.1, 0.2)))
+            else:
+                at = draw.choice(here)
+                again = number > 0 and draw.random() < 0.6
+                one = draw.randrange(max(0, number - 30), number) if again else number
+                number = max(number, one + 1)
+                code, _ = play(made, made[at], one)
+                answers[str(code or "lost")] += 1
+        made.hub.heal()
+        for at in paused:
+            made[at].wake()
+        for at in dead:
+            made[at].start()
+            made[at].until_started()
+        until_rostered(made)
+        twice = sum(x > 1 for x in set_ups(made.record).values())
+        broken = sum(sum(x.status()["broken"].values()) for x in made.routers)
+        return [{"minutes": minutes, "paid plays": number, **faults, **{f"answers {k}": v for k, v in sorted(
+            answers.items())}, "set up twice": twice, "broken invariants": broken}]
+
+
+PARTS: dict[str, tuple[str, Any]] = {
+    "kills": ("A router of five with ten paid plays that stand is killed; the plays are fetched at others. "
+              "Off has a tenth of the kills.", kills),
+    "wait": ("Set-ups over RTSP one after the other at one router of five: what custody adds.", waits),
+    "setups": ("Set-ups in a closed loop of six lines at one router of five, repeatable ones.", setups),
+    "records": ("The records alone, three routers in one process.", records),
+    "soak": ("Random kills, pauses, cuts and losses of up to a fifth, with viewers all the time.", soak)}
+
+
+def main() -> None:
+    path = RESULTS / "custody.json"
+    held: dict[str, Rows] = json.loads(path.read_text()) if path.exists() else {}
+    words = sys.argv[1:]
+    number = next((float(x) for x in words if x.replace(".", "").isdigit()), None)
+    for part in [x for x in words if x in PARTS] or list(PARTS):
+        call = PARTS[part][1]
+        if part == "soak":
+            held[part] = call(number or 30.0)
+        elif part == "kills":
+            held[part] = call(int(number or 100))
+        else:
+            held[part] = call()
+        print(part, held[part], flush=True)
+        path.write_text(json.dumps(held, indent=1) + "\n")
+    keep("custody", "Custody", [(PARTS[x][0], held[x]) for x in PARTS if x in held],
+         "python -m benchmarks.custody")
+
+
+if __name__ == "__main__":
+    main()
--- a/cloverhinge/custody/__init__.py
+++ b/cloverhinge/custody/__init__.py
@@ -1,4 +1,5 @@
-"""Who owns which piece of work, its keepers, and take-over once: leases and epochs.
+"""Work in hand that outlives its router: who owns each piece, who keeps copies, take-over once.
 
-Decisions (`register.py`) are free of I/O.  Builds on members/; must not know boxes' wires nor failover/.
+May use core/ and members/; the fronts reach it through `Part` and bring their own side as a `Wire`.  Must not
+know any front's protocol.  `part.py` is the thin module; all else is free of I/O.
 """
--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -29,6 +29,7 @@
 RENEWALS = 3.0  # tries in a lease's time, so that two in a row may be lost
 HEARD = 2.0  # times a lease: who was not heard for so long takes no part
 BACKOFF_MS = 30.0  # at most, by lot, before a higher ballot
+HAND_MS = 200.0  # an owner that says nothing for so long is asked no more: its lease decides
 ASK_AGAIN_MS = 50.0  # while a set-up that a viewer came for is under way at its owner
 HOLE_WAIT_MS = 400.0  # a keeper that lost others' memory waits so long for owners to write again
 BACKUP_MS = 1200.0  # the next keeper takes over what the first one should have
@@ -828,7 +829,7 @@
         attempt = self.tries.get(told.id)
         if attempt is not None and attempt.stage is Stage.HAND:
             if told.open:
-                attempt.next_ms = now + ASK_AGAIN_MS
+                attempt.next_ms, attempt.sent_ms = now + ASK_AGAIN_MS, now
             else:
                 attempt.stage, attempt.next_ms = Stage.WAIT, now + ASK_AGAIN_MS
 
@@ -857,7 +858,7 @@
         elif attempt.stage is Stage.HAND:
             if now >= attempt.next_ms:
                 attempt.next_ms = now + ASK_AGAIN_MS
-                if attempt.owner in self.alive:
+                if attempt.owner in self.alive and now - attempt.sent_ms < HAND_MS:
                     self._to(attempt.owner, wire.GiveMe(attempt.id))
                 else:
                     attempt.stage = Stage.WAIT
@@ -1016,7 +1017,7 @@
                 del self.tries[attempt.id]
                 self._lose(attempt.id, attempt.owner)
             elif attempt.reason in ("claim", "find") and attempt.owner in self.alive:
-                attempt.stage, attempt.next_ms = Stage.HAND, now
+                attempt.stage, attempt.next_ms, attempt.sent_ms = Stage.HAND, now, now
                 self._step(now, attempt)
             else:
                 attempt.next_ms = now + max(min(x.left_ms for x in leases), 1.0)
--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -1,43 +1,36 @@
-"""Custody's place in the router: the core's hooks, the fronts' records, messages by the members.
+"""Custody's place in the router: the core's hooks, and messages by the members.  Decisions: core.py.
 
-Decisions: core.py.  A record's id is `h/TOKEN` for a play of the HLS front, `r/SESSION` for one over RTSP.
+A record's id is the letter of its front, `/`, and the front's own name for the piece of work.
 """
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import asdict
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
-from twisted.internet.defer import Deferred
 from twisted.logger import Logger
 
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.deadlines import Deadlines
-from cloverhinge.core.model import Ask, Attempt, Boxes, Cause, Request, State
+from cloverhinge.core.model import Ask, Attempt, Boxes, Cause, Request, State, Viewer
 from cloverhinge.core.router import Router
 from cloverhinge.custody import core, register
 from cloverhinge.custody.core import Verdict
+from cloverhinge.custody.kept import Kept, encode, read
 from cloverhinge.custody.register import Phase, Work
 from cloverhinge.custody.wire import Member
 from cloverhinge.decision.interface import Effect
-from cloverhinge.hls.plays import BUSY_MS, Final, Over, Play, Plays, PlayViewer
 from cloverhinge.members.core import Carried, Changed, Voided
 from cloverhinge.members.link import Event, Link
 from cloverhinge.members.wire import Bad
 from cloverhinge.members.wire import State as MemberState
-from cloverhinge.net.front import Front, RtspViewer
-from cloverhinge.net.pumps import Pumps
-from cloverhinge.site.model import CustodySite, Title
+from cloverhinge.site.model import CustodySite
 
 SOON_MS = 500.0  # for keepers to answer a paid claim: ten times what was sent is sent again in that time
-SHORT_MS = 100.0  # for a repeatable one, which is served without them
 KEPT_MS = 250.0  # that a paid answer waits for the keepers to have it, at the most
-MARGIN_MS = 600.0  # of a viewer's time that is left for the set-up
 ROOM_MS = 1000.0  # between looks at the members' room
 LASTS_MS = 60_000.0  # an answer that stays is kept for so long at least
 ANSWER_MOST = 1024  # bytes of an RTSP answer that are kept; longer ones are told empty by a successor
@@ -45,32 +38,25 @@
 HANDED_MOST = 4096  # names of sessions that went to others
 
 
-class Kept(msgspec.Struct, array_like=True):
-    """What a successor has to know of a piece of work."""
+class Wire(Protocol):
+    """One front's side: what it holds under its records' ids."""
 
-    class_name: str
-    title: str
-    key: str  # the player's play id, or the viewer
-    name: str = ""  # the session's, as its box knows it
-    server: int = -1  # its box; -1: none yet
-    rung: int | None = None
-    first_cell: int = 0
-    copies: int = 0
-    ceiling: int = 0
-    length_ms: float = 0.0
-    peer: str = ""
-    answer: bytes = b""
+    def own_name(self, text: str) -> str:
+        """The name within the id, for what people call it."""
 
+    def adopt(self, id: str, kept: Kept) -> bool:
+        """A session that stands goes on here, by `Part.carry`; False where it can't."""
 
-_encode = msgspec.msgpack.Encoder().encode
-_decoder: msgspec.msgpack.Decoder[Kept] = msgspec.msgpack.Decoder(Kept)
+    def held(self, id: str) -> Request | None: ...
 
+    def wanted(self, id: str) -> bool:
+        """Whether a viewer of it is here."""
+
+    def lost(self, id: str) -> None:
+        """Another router has it: forget it, and answer who waits."""
 
-def read(work: Work) -> Kept | None:
-    try:
-        return _decoder.decode(work.body)
-    except msgspec.MsgspecError:
-        return None  # of a version that keeps other things
+    def let_go(self, kept: Kept) -> None:
+        """Tell the box to release what an earlier owner may have left there."""
 
 
 class Part:
@@ -79,23 +65,20 @@
     log = Logger()
     key = "custody"
 
-    def __init__(self, site: CustodySite, members: Link, router: Router, pumps: Pumps, front: Front,
-                 clock: Clock, deadlines: Deadlines, seed: int) -> None:
-        self.site, self.members, self.router, self.pumps, self.front = site, members, router, pumps, front
+    def __init__(self, site: CustodySite, members: Link, router: Router, clock: Clock, deadlines: Deadlines,
+                 seed: int) -> None:
+        self.site, self.members, self.router = site, members, router
         self.clock, self.deadlines, self.seed = clock, deadlines, seed
-        self.plays: Plays | None = None
-        self.titles: Mapping[str, Title] = {}
-        self.hls_boxes: Any = None
+        self.wires: dict[str, Wire] = {}
         self.lasts_ms = LASTS_MS
         self.core: core.Custody
-        self._token_key = b""
         self._count = 0
         self._asked: dict[int, Callable[[Verdict, Work | None], None]] = {}
         self._telling: dict[str, tuple[Request, bytes]] = {}  # paid answers that wait to be kept
         self._answers: dict[str, tuple[Attempt, bytes]] = {}  # that wait for certainty
         self._releases: OrderedDict[str, tuple[Request, Cause]] = OrderedDict()
-        self._handed: OrderedDict[str, None] = OrderedDict()
-        self._unkept: OrderedDict[str, None] = OrderedDict()  # served without keepers
+        self.handed: OrderedDict[str, None] = OrderedDict()
+        self.unkept: OrderedDict[str, None] = OrderedDict()  # served without keepers
         self._sure: tuple[Request | None, bool] = (None, False)  # of the last one that ended
         self._adopting = False
         self._changed = True
@@ -104,12 +87,10 @@
 
     # The node's side
 
-    def with_hls(self, plays: Plays, boxes: Any, titles: Mapping[str, Title], key: bytes,
-                 idle_ms: float) -> None:
-        self.plays, self.hls_boxes, self.titles = plays, boxes, titles
-        self._token_key = hashlib.sha256(b"cloverhinge play\0" + key).digest()
-        self.lasts_ms = max(LASTS_MS, idle_ms + max((x.length_ms for x in titles.values()), default=0.0))
-        plays.custody = self
+    def serve(self, letter: str, wire: Wire, lasts_ms: float = 0.0) -> None:
+        """A front whose work is kept; its answers that stay last for `lasts_ms` at least."""
+        self.wires[letter] = wire
+        self.lasts_ms = max(self.lasts_ms, lasts_ms)
 
     def start(self) -> None:
         own = Member(self.members.name, self.members.members.run, self.members.site.site)
@@ -117,7 +98,6 @@
                            self.lasts_ms)
         self.core = core.Custody(own, rules, self.seed)
         self.router.custody = self
-        self.pumps.handed_on = self._handed.__contains__
         self.members.hearers[self.key] = self._heard
         self.members.watchers.append(self._watch)
         self._tick()
@@ -138,25 +118,22 @@
                 "trying": len(self.core.tries)}
 
     def look(self, text: str) -> dict[str, Any]:
-        """What this router knows of a play, or of a session over RTSP."""
-        ids = [f"r/{text}"] if self.plays is None else [f"h/{self.token(text)}", f"r/{text}"]
+        """What this router knows of a piece of work, by the name that its front gives it."""
+        ids = [f"{letter}/{wire.own_name(text)}" for letter, wire in self.wires.items()]
         for id in ids:
             work = self.core.look(id)
             if work is not None:
-                kept = read(work)
+                kept = read(work) or Kept("", "", "")
+                server = self.router.listings.get(kept.server)
+                box = "" if server is None else f"s-{server.server:08x}"
                 return {"found": True, "phase": work.phase.name.lower(), "owner": work.owner.split("#")[0],
                         "epoch": work.epoch, "past": [x.split("#")[0] for x in work.past],
                         "keepers": [x.split("#")[0] for x in self.core.keepers(id)],
-                        "class": kept.class_name if kept else "", "title": kept.title if kept else "",
-                        "box": self._box(kept.server) if kept else "", "session": kept.name if kept else "",
-                        "mine": id in self.core.held}
+                        "class": kept.class_name, "title": kept.title, "session": kept.name,
+                        "box": box, "mine": id in self.core.held}
         return {"found": False, "keepers": sorted({
             x.split("#")[0] for id in ids for x in self.core.keepers(id)})}
 
-    def _box(self, server: int) -> str:
-        pump = self.pumps.pumps.get(server)
-        return pump.box.name if pump is not None else f"s-{server:08x}" if server >= 0 else ""
-
     # Membership's side
 
     def _watch(self, event: Event) -> None:
@@ -210,8 +187,8 @@
                         call(verdict, work)
                 case core.Took(id, work, found):
                     self._took(id, work, found)
-                case core.Lost(id, to):
-                    self._lost(id, to)
+                case core.Lost(id, _):
+                    self._lost(id)
                 case core.Kept(id, phase):
                     if phase is Phase.STANDS:
                         self._tell(id)
@@ -221,18 +198,29 @@
                 case core.Say(text):
                     self.log.info("{name}: custody: {text}", name=self.members.name, text=text)
 
-    def _ask(self, call: Callable[[Verdict, Work | None], None]) -> int:
+    def ask(self, call: Callable[[Verdict, Work | None], None]) -> int:
         self._count += 1
         self._asked[self._count] = call
         return self._count
 
-    def _claim(self, id: str, paid: bool, kept: Kept, soon_ms: float, until_ms: float,
+    def claim(self, id: str, paid: bool, kept: Kept, soon_ms: float, until_ms: float,
                call: Callable[[Verdict, Work | None], None]) -> None:
         now = self.clock.now()
-        self._act(self.core.claim(now, self._ask(call), id, paid, _encode(kept), now + soon_ms, until_ms))
+        self._act(self.core.claim(now, self.ask(call), id, paid, encode(kept), now + soon_ms, until_ms))
+
+    def find(self, id: str, soon_ms: float, until_ms: float, call: Callable[[Verdict, Work | None], None],
+             ) -> None:
+        now = self.clock.now()
+        self._act(self.core.find(now, self.ask(call), id, now + soon_ms, until_ms))
+
+    def end(self, id: str) -> None:
+        """The front has forgotten it."""
+        held = self.core.held.get(id)
+        if held is not None and held.work.phase in register.ACTING:
+            self._act(self.core.update(self.clock.now(), id, Phase.OVER, held.work.body))
 
     def _update(self, id: str, phase: Phase, kept: Kept) -> None:
-        self._act(self.core.update(self.clock.now(), id, phase, _encode(kept)))
+        self._act(self.core.update(self.clock.now(), id, phase, encode(kept)))
 
     @staticmethod
     def _id(request: Request) -> str:
@@ -259,11 +247,11 @@
             self._update(id, Phase.INTENT, kept)  # it is this router's; its box is told after the fact
             self.router.send(attempt)
         elif not self._paid(request):
-            self._claim(id, False, kept, SOON_MS, self.clock.now() + SOON_MS,
+            self.claim(id, False, kept, SOON_MS, self.clock.now() + SOON_MS,
                         lambda verdict, work: self._copied(request, verdict, work))
             self.router.send(attempt)
         else:
-            self._claim(id, True, kept, SOON_MS, attempt.until_ms,
+            self.claim(id, True, kept, SOON_MS, attempt.until_ms,
                         lambda verdict, work: self._intended(attempt, verdict, work))
 
     def _intended(self, attempt: Attempt, verdict: Verdict, work: Work | None) -> None:
@@ -276,7 +264,7 @@
         elif verdict is Verdict.TAKEN and kept is not None:
             self.router.resume(request, kept.server, kept.answer)
         elif verdict is Verdict.UNKEPT and self.site.serve:
-            self._note(self._unkept, self._id(request), HANDED_MOST)
+            self.note(self.unkept, self._id(request))
             self.router.send(attempt)
         else:
             self.router.unkept(request, failed=verdict in (Verdict.FINAL, Verdict.TAKEN))
@@ -289,7 +277,7 @@
         kept = read(work)
         if kept is not None and kept.server >= 0 and kept.server != request.server and kept.name == \
                 request.ask.name and (request.attempt is None or request.attempt.server != kept.server):
-            self.pumps.let_go(kept.server, kept.name)  # what an earlier owner had under way
+            self.wires[id[0]].let_go(kept)  # what an earlier owner had under way
         if request.state is State.STANDS:
             self._update(id, Phase.STANDS, self._kept(request, request.server))
         elif request.state is State.OVER:
@@ -299,7 +287,7 @@
         request, id = attempt.request, self._id(attempt.request)
         if not self._paid(request):
             return True
-        return self.core.may_act(id, self.clock.now()) or id not in self.core.held and id in self._unkept
+        return self.core.may_act(id, self.clock.now()) or id not in self.core.held and id in self.unkept
 
     def certain(self, attempt: Attempt, answer: bytes) -> bool:
         request, id = attempt.request, self._id(attempt.request)
@@ -325,7 +313,7 @@
         self._update(id, Phase.STANDS, kept)
 
     def _copy(self, request: Request) -> None:
-        self._claim(self._id(request), self._paid(request), self._kept(request, request.server), SOON_MS,
+        self.claim(self._id(request), self._paid(request), self._kept(request, request.server), SOON_MS,
                     self.clock.now() + SOON_MS, lambda verdict, work: self._copied(request, verdict, work))
 
     def _tell(self, id: str, only: Request | None = None) -> None:
@@ -380,54 +368,30 @@
     # Taking and giving
 
     def _took(self, id: str, work: Work, found: Work | None) -> None:
+        wire = self.wires.get(id[0])
         if found is not None and found.phase is Phase.INTENT and found.owner != work.owner \
                 or work.phase is Phase.DOOMED:
             left = read(work if found is None or found.phase is not Phase.INTENT else found)
-            if left is not None and left.server >= 0:
-                self._let_go(id, left)
-        if work.phase is Phase.INTENT and not work.paid and id not in self.core.tries:
-            if not self._wanted(id):
-                self._act(self.core.update(self.clock.now(), id, Phase.OVER, work.body))
-        elif work.phase is Phase.STANDS:
+            if left is not None and left.server >= 0 and wire is not None:
+                wire.let_go(left)
+        why = ""
+        if work.phase is Phase.STANDS:
             kept = read(work)
-            if kept is None or not self._adopt(id, kept):
-                why = ("it is of another version" if kept is None else "its box is not listed"
-                       if kept.server not in self.router.listings else "no room, or its title is unknown")
+            why = ("this router has no such front" if wire is None else "it is of another version"
+                   if kept is None else "its box is not listed" if kept.server not in self.router.listings
+                   else "" if wire.adopt(id, kept) else "no room, or its title is unknown")
+            if why:
                 self.log.warn("{name}: custody: {id} can't go on here: {why}", name=self.members.name, id=id,
                               why=why)
-                self._act(self.core.update(self.clock.now(), id, Phase.OVER, work.body))
-
-    def _wanted(self, id: str) -> bool:
-        """Whether a viewer of it is here."""
-        if id.startswith("h/"):
-            return self.plays is not None and id[2:] in self.plays.by_token
-        return id[2:] in self.router.by_name
-
-    def _let_go(self, id: str, kept: Kept) -> None:
-        if id.startswith("h/"):
-            if self.hls_boxes is not None:
-                self.hls_boxes.let_go(kept.server, kept.name)
-        elif kept.name not in self.router.by_name:
-            self.pumps.let_go(kept.server, kept.name)
-
-    def _adopt(self, id: str, kept: Kept) -> bool:
-        """A session that stands goes on here; False where it can't."""
-        if kept.class_name not in self.router.classes or kept.server < 0:
-            return False
-        ask = Ask(kept.name, kept.class_name, kept.title, kept.first_cell, kept.copies, kept.ceiling, 0.0,
-                  length_ms=kept.length_ms, viewer=kept.key, peer=kept.peer,
-                  record=id if id.startswith("h/") else "")
-        if id.startswith("h/"):
-            return self._adopt_play(id, kept, ask)
-        if kept.name in self.router.by_name:
-            return True  # it is here, or its viewer is, and is told of it
-        viewer = RtspViewer(self.front, 0, kept.peer, kept.name)
-        request = self._carry(ask, kept, viewer, self.pumps)
-        if request is not None:
-            viewer.stands(True)
-        return request is not None
-
-    def _carry(self, ask: Ask, kept: Kept, viewer: Any, boxes: Boxes) -> Request | None:
+        abandoned = work.phase is Phase.INTENT and not work.paid and id not in self.core.tries and (
+            wire is None or not wire.wanted(id))
+        if why or abandoned:
+            self._act(self.core.update(self.clock.now(), id, Phase.OVER, work.body))
+
+    def carry(self, ask: Ask, kept: Kept, viewer: Viewer, boxes: Boxes) -> Request | None:
+        """For fronts that adopt: the session goes into the core, without a claim of its own."""
+        if kept.class_name not in self.router.classes:
+            return None
         self._adopting = True
         try:
             request = self.router.carry(ask, kept.server, viewer, boxes)
@@ -437,92 +401,21 @@
             request.rung = kept.rung
         return request
 
-    def _adopt_play(self, id: str, kept: Kept, ask: Ask) -> bool:
-        title = self.titles.get(kept.title)
-        if self.plays is None or title is None:
-            return False
-        try:
-            play = self.plays.find(kept.key, kept.class_name, kept.title, title)
-        except Final:
-            return False
-        if play.request is not None and play.request.state is not State.OVER:
-            return True
-        play.peer = play.peer or kept.peer
-        play.request = self._carry(ask, kept, PlayViewer(self.plays, play), self.plays.boxes)
-        self.plays.touch(play)
-        return play.request is not None
-
-    def _lost(self, id: str, to: str) -> None:
+    def _lost(self, id: str) -> None:
         self._releases.pop(id, None)
         self._answers.pop(id, None)
-        request: Request | None = None
-        if id.startswith("h/"):
-            play = None if self.plays is None else self.plays.by_token.get(id[2:])
-            if play is not None and self.plays is not None:
-                request = play.request
-                if request is not None:
-                    self._tell(id, request)  # what waits to be told of it is answered from here still
-                play.request = None
-                self.plays.forget(play)
-                play.wake(Final(503, "another router has this play now", BUSY_MS))
-        else:
-            request = self.router.by_name.get(id[2:])
+        wire = self.wires.get(id[0])
+        request = None if wire is None else wire.held(id)
+        if request is not None:
+            self._tell(id, request)  # what waits to be told of it is answered from here still
+            self.note(self.handed, request.ask.name)
+        if wire is not None:
+            wire.lost(id)
         if request is not None:
-            self._tell(id, request)
-            self._note(self._handed, request.ask.name, HANDED_MOST)
             self.router.hand_on(request)
 
     @staticmethod
-    def _note(table: OrderedDict[str, None], name: str, most: int) -> None:
+    def note(table: OrderedDict[str, None], name: str) -> None:
         table[name] = None
-        while len(table) > most:
+        while len(table) > HANDED_MOST:
             table.popitem(last=False)
-
-    # The plays' `Custody`
-
-    def token(self, key: str) -> str:
-        return hmac.new(self._token_key, key.encode(), hashlib.sha256).hexdigest()[:32]
-
-    async def claim(self, play: Play) -> None:
-        id = f"h/{play.token}"
-        held = self.core.held.get(id)
-        if held is not None and not held.to and held.work.phase is Phase.INTENT:
-            return
-        if self.core.leaving:
-            raise Final(503, "this router ends, another one serves", BUSY_MS)
-        title, now = play.title, self.clock.now()
-        until = now + self.router.classes[play.class_name].deadline_us / 1000.0 - MARGIN_MS
-        kept = Kept(play.class_name, play.title_name, play.key, first_cell=title.first_cell,
-                    copies=title.copies, ceiling=title.ceiling, length_ms=title.length_ms, peer=play.peer)
-        answer: Deferred[tuple[Verdict, Work | None]] = Deferred()
-        self._claim(id, play.paid, kept, SOON_MS if play.paid else SHORT_MS, until,
-                    lambda verdict, work: answer.callback((verdict, work)))
-        verdict, work = await answer
-        if verdict is Verdict.FINAL and work is not None:
-            if work.phase is Phase.OVER:
-                play.over = play.paid
-                raise Over
-            play.verdict = Final(502, "the set-up failed")
-            raise play.verdict
-        if verdict is Verdict.HELD:
-            raise Final(503, "another router has this play", BUSY_MS)
-        if verdict is Verdict.UNKEPT:
-            if play.paid and not self.site.serve:
-                raise Final(503, "it can't be kept by other routers now", BUSY_MS)
-            self._note(self._unkept, id, HANDED_MOST)
-
-    async def find(self, token: str) -> None:
-        if self.core.leaving or len(token) != 32:
-            return
-        now = self.clock.now()
-        answer: Deferred[Verdict] = Deferred()
-        number = self._ask(lambda verdict, work: answer.callback(verdict))
-        self._act(self.core.find(now, number, f"h/{token}", now + SOON_MS, now + 2.0 * self.site.lease_ms))
-        if await answer in (Verdict.HELD, Verdict.UNKEPT):
-            raise Final(503, "another router has this session", BUSY_MS)
-
-    def forgot(self, play: Play) -> None:
-        id = f"h/{play.token}"
-        held = self.core.held.get(id)
-        if held is not None and held.work.phase in register.ACTING:
-            self._act(self.core.update(self.clock.now(), id, Phase.OVER, held.work.body))
--- a/cloverhinge/emulator/keeping.py
+++ b/cloverhinge/emulator/keeping.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field, replace
 
 from cloverhinge.custody.core import TICK_MS, Action, Answer, Custody, Kept, Lost, Rules, Say, Took, Verdict
 from cloverhinge.custody.core import Send as SendTo
 from cloverhinge.custody.register import Phase
 from cloverhinge.custody.wire import Member
-from cloverhinge.emulator.network import Address
+from cloverhinge.emulator.network import Address, Way
 from cloverhinge.emulator.routers import Router, World
 from cloverhinge.members import core
 from cloverhinge.members.wire import State
@@ -169,7 +170,9 @@
     waiting: dict[tuple[str, str], list[Fetch]] = field(default_factory=dict)
 
     def make(self, name: str, site: str, address: Address, join: tuple[Address, ...]) -> Router:
-        return Keeping(self, name, site, address, join)
+        router = Keeping(self, name, site, address, join)
+        router.process.alive = False  # until it is started
+        return router
 
     @property
     def keepers(self) -> list[Keeping]:
@@ -228,3 +231,60 @@
         """Sessions that stand at a box and have no owner, or two, among those that run."""
         return [f"{id}: {self.owners(id)}" for id, session in self.sessions.items()
                 if session.stands and len(self.owners(id)) != 1]
+
+
+def rough(seed: int, span_ms: float = 60_000.0) -> Keepers:
+    """A run under random kills, pauses, cuts and losses, ended whole: all run, and hold one roster.
+
+    Within what is promised: fewer than half of the routers are lost between two rosters that all hold.
+    """
+    draw = random.Random(seed)
+    count = draw.choice((3, 5, 5, 7))
+    world = Keepers(count, seed, sites=draw.choice((1, 2, 3)))
+    world.start(3000.0)
+    world.until_rostered()
+    net, until, most = world.net, world.net.now + span_ms, (count - 1) // 2
+    paused: dict[int, float] = {}
+    dead: dict[int, float] = {}
+    lost = plays = 0
+    while net.now < until:
+        net.run(draw.expovariate(1 / 150.0))
+        for at in [x for x, when in paused.items() if net.now >= when]:
+            net.wake(world.routers[at].process)
+            del paused[at]
+        for at in [x for x, when in dead.items() if net.now >= when]:
+            world.routers[at].start()
+            del dead[at]
+        here = [x for x in range(count) if x not in dead and x not in paused]
+        dice = draw.random()
+        if dice < 0.60 and here:
+            again = plays > 0 and draw.random() < 0.5
+            play = draw.randrange(max(0, plays - 40), plays) if again else plays
+            plays = max(plays, play + 1)
+            world.keepers[draw.choice(here)].fetch(f"p{play}")
+        elif dice < 0.63 and here and len(dead) < most and (world.rostered or lost < most):
+            lost = 1 if world.rostered else lost + 1
+            at = draw.choice(here)
+            world.routers[at].kill()
+            dead[at] = net.now + draw.uniform(200.0, 15_000.0)
+        elif dice < 0.68 and here:
+            at = draw.choice(here)
+            net.pause(world.routers[at].process)
+            paused[at] = net.now + draw.choice((draw.uniform(50.0, 2000.0), draw.uniform(2000.0, 10_000.0)))
+        elif dice < 0.72:
+            some = draw.sample(world.routers, draw.randint(1, count // 2))
+            net.cut([x.address for x in some], [x.address for x in world.routers if x not in some],
+                    both=draw.random() < 0.5)
+        elif dice < 0.75:
+            net.heal()
+        elif dice < 0.77:
+            net.usual = Way(loss=draw.choice((0.0, 0.1, 0.3)), twice=0.1, late=0.1)
+    net.heal()
+    net.usual = Way()
+    for at in paused:
+        net.wake(world.routers[at].process)
+    for at in dead:
+        world.routers[at].start()
+    world.until_rostered(30_000.0)
+    net.run(12_000.0)
+    return world
--- /dev/null
+++ b/cloverhinge/hls/custody.py
@@ -0,0 +1,118 @@
+"""Plays as custody keeps them: `h/TOKEN`, the token made from the play id by a key that all routers have."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from twisted.internet.defer import Deferred
+
+from cloverhinge.core.model import Ask, Request, State
+from cloverhinge.custody.core import Verdict
+from cloverhinge.custody.kept import Kept
+from cloverhinge.custody.part import SOON_MS, Part
+from cloverhinge.custody.register import Phase, Work
+from cloverhinge.hls.boxes import HlsBoxes
+from cloverhinge.hls.plays import BUSY_MS, Final, Over, Play, Plays, PlayViewer
+from cloverhinge.site.model import HlsSite
+
+LETTER = "h"
+SHORT_MS = 100.0  # for keepers to answer a repeatable claim, which is served without them
+MARGIN_MS = 600.0  # of a viewer's time that is left for the set-up
+FIND_MS = 3000.0  # for a playlist's session to be found: two leases
+TOKEN = 32  # characters
+
+
+class KeptPlays:
+    """The plays' `Custody`, and the front's side of it."""
+
+    def __init__(self, part: Part, plays: Plays, boxes: HlsBoxes, site: HlsSite) -> None:
+        self.part, self.plays, self.boxes, self.titles = part, plays, boxes, site.titles
+        self.key = hashlib.sha256(b"cloverhinge play\0" + site.key).digest()
+        plays.custody = self
+        longest = max((x.length_ms for x in site.titles.values()), default=0.0)
+        part.serve(LETTER, self, site.idle_ms + longest)
+
+    # The plays' `Custody`
+
+    def token(self, key: str) -> str:
+        return hmac.new(self.key, key.encode(), hashlib.sha256).hexdigest()[:TOKEN]
+
+    async def claim(self, play: Play) -> None:
+        part, id = self.part, f"{LETTER}/{play.token}"
+        held = part.core.held.get(id)
+        if held is not None and not held.to and held.work.phase is Phase.INTENT:
+            return
+        if part.core.leaving:
+            raise Final(503, "this router ends, another one serves", BUSY_MS)
+        title = play.title
+        until = part.clock.now() + part.router.classes[play.class_name].deadline_us / 1000.0 - MARGIN_MS
+        kept = Kept(play.class_name, play.title_name, play.key, first_cell=title.first_cell,
+                    copies=title.copies, ceiling=title.ceiling, length_ms=title.length_ms, peer=play.peer)
+        answer: Deferred[tuple[Verdict, Work | None]] = Deferred()
+        part.claim(id, play.paid, kept, SOON_MS if play.paid else SHORT_MS, until,
+                   lambda verdict, work: answer.callback((verdict, work)))
+        verdict, work = await answer
+        if verdict is Verdict.FINAL and work is not None:
+            if work.phase is Phase.OVER:
+                play.over = play.paid
+                raise Over
+            play.verdict = Final(502, "the set-up failed")
+            raise play.verdict
+        if verdict is Verdict.HELD:
+            raise Final(503, "another router has this play", BUSY_MS)
+        if verdict is Verdict.UNKEPT:
+            if play.paid and not part.site.serve:
+                raise Final(503, "it can't be kept by other routers now", BUSY_MS)
+            part.note(part.unkept, id)
+
+    async def find(self, token: str) -> None:
+        if self.part.core.leaving or len(token) != TOKEN:
+            return
+        answer: Deferred[Verdict] = Deferred()
+        self.part.find(f"{LETTER}/{token}", SOON_MS, self.part.clock.now() + FIND_MS,
+                       lambda verdict, work: answer.callback(verdict))
+        if await answer in (Verdict.HELD, Verdict.UNKEPT):
+            raise Final(503, "another router has this session", BUSY_MS)
+
+    def forgot(self, play: Play) -> None:
+        self.part.end(f"{LETTER}/{play.token}")
+
+    # Custody's `Wire`
+
+    def own_name(self, text: str) -> str:
+        return self.token(text)
+
+    def held(self, id: str) -> Request | None:
+        play = self.plays.by_token.get(id[2:])
+        return None if play is None else play.request
+
+    def wanted(self, id: str) -> bool:
+        return id[2:] in self.plays.by_token
+
+    def adopt(self, id: str, kept: Kept) -> bool:
+        title = self.titles.get(kept.title)
+        if title is None or kept.class_name not in self.plays.router.classes:
+            return False
+        try:
+            play = self.plays.find(kept.key, kept.class_name, kept.title, title)
+        except Final:
+            return False
+        if play.request is not None and play.request.state is not State.OVER:
+            return True
+        play.peer = play.peer or kept.peer
+        ask = Ask(kept.name, kept.class_name, kept.title, kept.first_cell, kept.copies, kept.ceiling, 0.0,
+                  length_ms=kept.length_ms, viewer=kept.key, peer=kept.peer, record=id)
+        play.request = self.part.carry(ask, kept, PlayViewer(self.plays, play), self.boxes)
+        self.plays.touch(play)
+        return play.request is not None
+
+    def lost(self, id: str) -> None:
+        play = self.plays.by_token.get(id[2:])
+        if play is not None:
+            play.request = None
+            self.plays.forget(play)
+            play.wake(Final(503, "another router has this play now", BUSY_MS))
+
+    def let_go(self, kept: Kept) -> None:
+        self.boxes.let_go(kept.server, kept.name)
--- a/cloverhinge/lab/media.py
+++ b/cloverhinge/lab/media.py
@@ -31,6 +31,7 @@
         self.record = record or Record()
         self.sessions: dict[str, str] = {}
         self.lock = threading.Lock()
+        self.ended: list[str] = []  # told again on each new connection, as whose they are may have changed
         self.before, self.after = threading.Event(), threading.Event()
         self.before.set()
         self.after.set()
@@ -44,9 +45,9 @@
     def noted(self, what: str, session: str, title: str = "") -> Event:
         return self.record.add(self.name, what, session=session, title=title)
 
-    def set_up(self, session: str, title: str) -> None:
+    def set_up(self, session: str, title: str, kind: str) -> None:
         """In two steps, each of which a test may hold up: it is asked, and it stands."""
-        self.noted("asked", session, title)
+        self.record.add(self.name, "asked", session=session, title=title, kind=kind)
         self.before.wait(WAIT_S)
         with self.lock:
             self.sessions[session] = title
@@ -58,17 +59,34 @@
             title = self.sessions.pop(session, None)
         self.noted("released" if title is not None else "released in vain", session, title or "")
 
+    def end(self, session: str) -> None:
+        """The box ends it: told on all lines to it, as one of them is its router's."""
+        with self.lock:
+            self.sessions.pop(session, None)
+            self.ended.append(session)
+        self.noted("ended", session)
+        for wire in list(self.wires):
+            self._tell_end(wire, session)
+
+    @staticmethod
+    def _tell_end(wire: Wire, session: str) -> None:
+        with suppress(OSError):
+            wire.send("TEARDOWN rtsp://media/session RTSP/1.0", session, 2, Reason="cause=16")
+
     # RTSP
 
     def take(self, wire: Wire, message: Message) -> None:
         threading.Thread(target=self._answer, args=(wire, message), daemon=True).start()
 
     def _answer(self, wire: Wire, message: Message) -> None:
-        self.set_up(message.session, message.start.split()[1].removeprefix("rtsp://media/"))
+        self.set_up(message.session, message.start.split()[1].removeprefix("rtsp://media/"),
+                    message.headers.get("x-call-class", ""))
         with suppress(OSError):  # the router may be gone
             wire.send("RTSP/1.0 200 OK", message.session, body=b"made by " + self.name.encode())
 
     def serve(self, wire: Wire) -> None:
+        for session in list(self.ended):
+            self._tell_end(wire, session)
         while message := wire.read():
             with suppress(OSError):
                 if message.start.startswith("OPTIONS"):
@@ -109,7 +127,7 @@
         def do_PUT(self) -> None:
             told = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
             name = self.path.split("/")[2]
-            box.set_up(name, told["title"])
+            box.set_up(name, told["title"], told["class"])
             self.answer(200, MASTER.format(name))
 
         def do_GET(self) -> None:
@@ -133,6 +151,6 @@
     return Handler
 
 
-def set_ups(record: Record) -> Counter[str]:
+def set_ups(record: Record, kind: str = "paid") -> Counter[str]:
     """How often each title was asked for at any box: with a title for each play, set-ups of that play."""
-    return Counter(x.told["title"] for x in record.of("asked"))
+    return Counter(x.told["title"] for x in record.of("asked") if x.told["kind"] == kind)
--- a/cloverhinge/lab/viewers.py
+++ b/cloverhinge/lab/viewers.py
@@ -47,7 +47,7 @@
     """An RTSP set-up on a connection of its own, and its answer."""
     wire = Wire(socket.create_connection(router.ports["listening"], WAIT_S))
     wire.send(f"SETUP rtsp://media/{title} RTSP/1.0", session, X_Call_Class=kind, X_Ring_Limit="2500",
-              X_Dest="home=0;copies=3;top=1")
+              X_Dest="home:0;copies:3;top:1")
     answer = wire.read()
     rig.record.add("viewer", "answer", path=session, at=router.name,
                    status=0 if answer is None else answer.status)
--- /dev/null
+++ b/cloverhinge/net/custody.py
@@ -0,0 +1,49 @@
+"""Sessions over RTSP as custody keeps them: `r/SESSION`."""
+
+from __future__ import annotations
+
+from cloverhinge.core.model import Ask, Request
+from cloverhinge.core.router import Router
+from cloverhinge.custody.kept import Kept
+from cloverhinge.custody.part import Part
+from cloverhinge.net.front import Front, RtspViewer
+from cloverhinge.net.pumps import Pumps
+
+LETTER = "r"
+
+
+class KeptSessions:
+    """The front's side of custody."""
+
+    def __init__(self, part: Part, router: Router, front: Front, pumps: Pumps) -> None:
+        self.part, self.router, self.front, self.pumps = part, router, front, pumps
+        pumps.handed_on = part.handed.__contains__
+        part.serve(LETTER, self)
+
+    def own_name(self, text: str) -> str:
+        return text
+
+    def held(self, id: str) -> Request | None:
+        return self.router.by_name.get(id[2:])
+
+    def wanted(self, id: str) -> bool:
+        return id[2:] in self.router.by_name
+
+    def adopt(self, id: str, kept: Kept) -> bool:
+        if kept.name in self.router.by_name:
+            return True  # it is here, or its viewer is, and is told of it
+        ask = Ask(kept.name, kept.class_name, kept.title, kept.first_cell, kept.copies, kept.ceiling, 0.0,
+                  length_ms=kept.length_ms, viewer=kept.key, peer=kept.peer)
+        viewer = RtspViewer(self.front, 0, kept.peer, kept.name)
+        request = self.part.carry(ask, kept, viewer, self.pumps)
+        if request is not None:
+            viewer.stands(True)
+        return request is not None
+
+    def lost(self, id: str) -> None:
+        """Its viewer is told nothing: the session goes on."""
+
+    def let_go(self, kept: Kept) -> None:
+        """Not while a viewer of that very session is here: its set-up has the same name."""
+        if kept.name not in self.router.by_name:
+            self.pumps.let_go(kept.server, kept.name)
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -82,9 +82,11 @@
         self.custody: Any = None  # of work in hand, where it is wanted
         if site.custody is not None:
             from cloverhinge.custody.part import Part as Custody  # loaded only where routers keep work
+            from cloverhinge.net.custody import KeptSessions
 
-            self.custody = Custody(site.custody, self.members, self.router, self.pumps, self.front,
-                                   self.clock, self.deadlines, config.seed)
+            self.custody = Custody(site.custody, self.members, self.router, self.clock, self.deadlines,
+                                   config.seed)
+            KeptSessions(self.custody, self.router, self.front, self.pumps)
             self.parts.append(self.custody)
         self.started_ms = self.clock.now()
 
@@ -135,7 +137,9 @@
         root = front.Front(site, self.router, boxes, held, self._proof,
                            None if self.gate is None else self.gate.clients.identify)
         if self.custody is not None:
-            self.custody.with_hls(held, boxes, site.titles, site.key, site.idle_ms)
+            from cloverhinge.hls.custody import KeptPlays
+
+            KeptPlays(self.custody, held, boxes, site)
         host, port = site.listen
         wired = front.factory(root, self.config.sockets // 4, self.deadlines)
         web = reactor.listenTCP(port, wired, backlog=BACKLOG, interface=host)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -1,4 +1,4 @@
-"""Takes one guard out of the program, to see that the test which names it fails: `python -m tests.guards`.
+"""Takes one guard out of the program, to see that its test fails: `python -m tests.guards [custody]`.
 
 No part of CI.  LAB_GUARD_OUT names the guard, in the tests' process and in the routers that they start.
 """
@@ -11,6 +11,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from cloverhinge.custody import core as custody
+from cloverhinge.custody import keeper, part, place, register
+from cloverhinge.custody import wire as custody_wire
 from cloverhinge.members import core, watch, wire
 
 VARIABLE = "LAB_GUARD_OUT"
@@ -102,7 +105,56 @@
     return told
 
 
+def resends() -> None:
+    taken_over = register.taken_over
+
+    def again(found: Any, asker: str, intent: Any) -> Any:
+        if found is not None and found.paid and found.phase is register.Phase.INTENT:
+            return register.follows(found, asker)
+        return taken_over(found, asker, intent)
+
+    register.taken_over = again
+
+
+def no_leases() -> None:
+    keeper.Keeper.lease_left = lambda self, owner, now: 0.0  # type: ignore[method-assign]
+
+
+def sends_unleased() -> None:
+    custody.Custody.may_act = lambda self, id, now: id in self.held  # type: ignore[method-assign]
+
+
+def no_generations() -> None:
+    keeper.Keeper._fence = lambda self, owner: None  # type: ignore[method-assign]
+
+
+def releases_at_once() -> None:
+    part.Part.release = (  # type: ignore[method-assign]
+        lambda self, request, cause: request.boxes.release(request, cause))
+
+
+def names_for_runs() -> None:
+    member: Any = custody_wire.Member
+    member.who = property(lambda self: self.name)
+    member.__eq__ = lambda self, other: self.name == other.name
+    member.__hash__ = lambda self: hash(self.name)
+
+
+def no_holes() -> None:
+    place.lost = lambda *_: False
+
+
+def any_run_of_writes() -> None:
+    accept = register.accept
+
+    def lax(slot: Any, ballot: Any, work: Any, base: Any = None, since: Any = None) -> Any:
+        return accept(slot, ballot, work, base, None if since is None else register.NONE)
+
+    register.accept = lax
+
+
 REAL, VIRTUAL = "tests/test_lab_members.py", "tests/test_members.py"
+KEPT, MODELLED = "tests/test_lab_custody.py", "tests/test_custody.py"
 GUARDS: dict[str, tuple[Callable[[], None], list[str]]] = {
     "a process that slept credits the others with that time": (no_pauses, [
         f"{REAL}::test_all_paused_at_once", f"{VIRTUAL}::test_all_paused_at_once_accuse_nobody"]),
@@ -135,6 +187,27 @@
         f"{VIRTUAL}::test_half_of_the_members_killed_at_once",
         f"{VIRTUAL}::test_a_killed_member_is_out_everywhere_within_two_seconds"]),
 }
+CUSTODY: dict[str, tuple[Callable[[], None], list[str]]] = {
+    "a paid intent is never sent by a successor": (resends, [
+        f"{KEPT}::test_killed_between_the_send_and_the_answer_a_paid_play_has_failed_for_good",
+        f"{KEPT}::test_a_keeper_that_restarts_empty_before_the_owner_is_lost"]),
+    "a keeper denies others while the owner's lease runs": (no_leases, [
+        f"{KEPT}::test_two_fetches_at_two_routers_at_once_are_one_set_up"]),
+    "an owner without a lease sends nothing": (sends_unleased, [
+        f"{MODELLED}::test_a_set_up_about_to_leave_stays_after_a_pause_and_is_known_to_be_lost"]),
+    "a keeper tells an owner that another has come": (no_generations, [
+        f"{MODELLED}::test_an_owner_that_slept_knows_what_was_taken_from_it",
+        f"{KEPT}::test_the_owner_that_was_paused_gives_up_what_it_lost"]),
+    "no release before it is certain": (releases_at_once, [
+        f"{KEPT}::test_a_viewer_s_end_that_waited_in_a_paused_router_ends_no_successor_s_session"]),
+    "a restarted router is another run": (names_for_runs, [
+        f"{MODELLED}::test_all_but_one_restart_and_what_they_kept_is_unknown"]),
+    "what most keepers of a record took with them is unknown": (no_holes, [
+        f"{MODELLED}::test_all_but_one_restart_and_what_they_kept_is_unknown"]),
+    "a run of writes is told from an earlier one": (any_run_of_writes, [
+        f"{MODELLED}::test_what_was_given_away_is_not_claimed_as_new_in_the_next_roster"]),
+}
+GUARDS |= CUSTODY
 
 
 def out() -> None:
@@ -158,16 +231,18 @@
     from benchmarks.tables import keep
 
     rows: list[dict[str, object]] = []
-    for name, (_, tests) in GUARDS.items():
+    which = CUSTODY if "custody" in sys.argv[1:] else {x: y for x, y in GUARDS.items() if x not in CUSTODY}
+    for name, (_, tests) in which.items():
         for test in tests:
             done = subprocess.run([sys.executable, "-m", "pytest", "-n", "0", test], capture_output=True,
                                   text=True, env={**os.environ, VARIABLE: name}, timeout=LIMIT_S)
             seen = "fails" if done.returncode == 1 else f"PASSES ({done.returncode})"
             rows.append({"taken out": name, "test": test.partition("::")[2], "without it": seen})
             print(rows[-1], flush=True)
-    keep("members_guards", "Membership: each test without the guard that it is for", [
+    part_, command = ("Custody", " custody") if which is CUSTODY else ("Membership", "")
+    keep(f"{'custody' if command else 'members'}_guards", f"{part_}: each test without its guard", [
         ("`fails` is what is wanted: the same test passes with the guard in.", rows)],
-        "python -m tests.guards")
+        f"python -m tests.guards{command}")
     return int(any(row["without it"] != "fails" for row in rows))
 
 
--- /dev/null
+++ b/tests/test_custody.py
@@ -0,0 +1,206 @@
+"""Custody's machines in virtual time: take-over, hand-over, rosters, and random schedules."""
+
+from __future__ import annotations
+
+import pytest
+
+from cloverhinge.custody import place, register
+from cloverhinge.custody.core import Verdict
+from cloverhinge.custody.register import EMPTY, NONE, Accepted, Denied, Phase, Slot, Work
+from cloverhinge.custody.wire import Hole, Member
+from cloverhinge.emulator.keeping import Fetch, Keepers, rough
+
+SEEDS = range(10)  # of random schedules; more with `python -m tests.test_custody FIRST LAST`
+SPAN_MS = 30_000.0
+
+
+def world(count: int = 5, seed: int = 1, sites: int = 1) -> Keepers:
+    made = Keepers(count, seed, sites=sites)
+    made.start(3000.0)
+    made.until_rostered()
+    return made
+
+
+def fetched(made: Keepers, at: int, id: str, ms: float = 4000.0) -> str:
+    fetch: Fetch = made.keepers[at].fetch(id)
+    until = made.net.now + ms
+    while not fetch.answer and made.net.now < until:
+        made.net.run(5.0)
+    return fetch.answer
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_schedules_break_no_promise(seed: int) -> None:
+    made = rough(seed, SPAN_MS)
+    assert not made.broken()
+    if not sum(x.custody.counters.unknown for x in made.keepers):
+        assert not made.unowned()
+
+
+def test_a_killed_owner_s_sessions_are_spread_and_owned_again_within_three_seconds() -> None:
+    made = world(5)
+    for number in range(60):
+        made.keepers[1].fetch(f"p{number}")
+    made.net.run(1000.0)
+    made.keepers[1].kill()
+    begun = made.net.now
+    while made.unowned():
+        made.net.run(25.0)
+        assert made.net.now - begun < 3000.0
+    shares = [len(x.custody.held) for x in made.keepers if x.running]
+    assert sum(shares) == 60 and max(shares) <= 30, shares
+
+
+def test_the_first_roster_needs_most_routers_and_later_ones_most_of_the_last() -> None:
+    made = Keepers(5, 3)
+    for router in made.routers[:2]:
+        router.start()
+    made.net.run(10_000.0)
+    assert all(x.custody.rosters.roster is None for x in made.keepers[:2])
+    assert fetched(made, 0, "p0") == "refused" and not made.sessions
+    made.routers[2].start()
+    made.until_rostered()
+    made.keepers[1].kill()
+    made.keepers[2].kill()
+    made.net.run(10_000.0)
+    assert made.keepers[0].custody.rosters.stuck
+    assert fetched(made, 0, "p1") == "refused" and "p1" not in made.sessions
+    made.routers[1].start()
+    made.routers[2].start()
+    made.until_rostered()
+    assert fetched(made, 1, "p2") == "failed"  # two of three keepers forgot: it may have been set up
+    made.net.run(made.rules_kept.hole_ms)
+    assert fetched(made, 1, "p3") == "200"
+
+
+def test_all_restart_at_once_and_what_was_kept_is_unknown() -> None:
+    made = world(5)
+    assert fetched(made, 0, "p0") == "200"
+    for router in made.routers:
+        router.kill()
+        router.start()
+    made.net.run(3000.0)
+    made.until_rostered()
+    # Nobody remembers: it is a new installation, or everything is unknown.
+    assert fetched(made, 2, "p0") in ("failed", "200")
+
+
+def test_all_but_one_restart_and_what_they_kept_is_unknown() -> None:
+    made = world(5)
+    for number in range(20):
+        assert fetched(made, 1, f"p{number}") == "200"
+    for router in made.routers[1:]:
+        router.kill()
+        router.start()
+    made.until_rostered()
+    answers = {fetched(made, 2, f"p{number}") for number in range(20)}
+    assert answers <= {"failed", "200"} and not made.broken()
+
+
+def test_a_lone_router_keeps_its_own_work() -> None:
+    made = world(1)
+    assert fetched(made, 0, "p0") == "200" and not made.broken()
+
+
+def test_a_set_up_about_to_leave_stays_after_a_pause_and_is_known_to_be_lost() -> None:
+    made = world(5)
+    owner = made.keepers[1]
+    fetch = owner.fetch("p0")
+    while owner.sessions.get("p0") != "open":
+        made.net.run(0.1)
+    made.net.pause(owner.process)
+    assert fetched(made, 2, "p0") == "failed"
+    made.net.wake(owner.process)
+    made.net.run(500.0)
+    assert not made.session("p0").sent and fetch.answer == "refused"
+    assert not owner.custody.may_act("p0", made.net.now)
+
+
+def test_an_owner_that_slept_knows_what_was_taken_from_it() -> None:
+    made = world(5)
+    owner = made.keepers[1]
+    assert fetched(made, 1, "p0") == "200"
+    made.net.pause(owner.process)
+    assert fetched(made, 2, "p0") == "200"
+    made.net.wake(owner.process)
+    made.net.run(1000.0)
+    assert not owner.custody.may_act("p0", made.net.now) and made.owners("p0") == ["r002"]
+    assert owner.custody.counters.fenced == 1
+
+
+def test_what_was_given_away_is_not_claimed_as_new_in_the_next_roster() -> None:
+    made = world(5)
+    assert fetched(made, 1, "p0") == "200" and fetched(made, 2, "p0") == "200"
+    made.keepers[4].kill()
+    made.until_rostered()
+    assert fetched(made, 1, "p0") == "200" and not made.broken()
+
+
+def test_keepers_are_on_other_sites_first_and_spread() -> None:
+    members = tuple(Member(f"r{n}", n, f"s{n % 3}") for n in range(9))
+    sites = {x.who: x.site for x in members}
+    for number in range(100):
+        those = place.keepers(f"h/{number}", members, 3)
+        assert {sites[x] for x in those} == {"s0", "s1", "s2"}
+    counts = [sum(x.who in place.keepers(f"h/{n}", members, 3) for n in range(300)) for x in members]
+    assert min(counts) > 50, counts
+
+
+def test_a_successor_is_drawn_by_room() -> None:
+    room = {"a": 300.0, "b": 100.0, "c": 0.0}
+    drawn = [place.successor(f"h/{n}", ("a", "b", "c"), room) for n in range(400)]
+    assert drawn.count("a") > 2 * drawn.count("b") > 20 * drawn.count("c")
+
+
+def test_a_record_is_lost_with_most_of_its_keepers_until_it_is_written_again() -> None:
+    members = tuple(Member(f"r{n}", n) for n in range(5))
+    those = place.keepers("h/1", members, 3)
+    assert place.lost("h/1", 0, Hole(4, members, those[:2]), 3)
+    assert not place.lost("h/1", 0, Hole(4, members, those[:1]), 3)
+    assert not place.lost("h/1", place.lowest(5) + 1, Hole(4, members, those[:2]), 3)
+
+
+def test_a_write_without_a_question_is_taken_only_where_nobody_came_since() -> None:
+    mine, other = Work("a#1", 1, Phase.INTENT, True), Work("b#1", 1, Phase.INTENT, True)
+    slot, reply = register.accept(EMPTY, (1, "a#1"), mine, NONE, (1, "a#1"))
+    assert isinstance(reply, Accepted)
+    assert isinstance(register.accept(slot, (1, "b#1"), other, NONE, (1, "b#1"))[1], Denied)
+    assert isinstance(register.accept(slot, (2, "a#1"), mine, NONE, (1, "a#1"))[1], Accepted)
+    # The same router in a later run of writes may have given the record away in between.
+    assert isinstance(register.accept(slot, (2, "a#1"), mine, NONE, (2, "a#1"))[1], Denied)
+    promised = Slot((3, "b#1"), slot.accepted, slot.work)
+    assert isinstance(register.accept(promised, (4, "a#1"), mine, (1, "a#1"), (1, "a#1"))[1], Denied)
+
+
+def test_claims_are_bounded() -> None:
+    made = world(3)
+    custody, now = made.keepers[0].custody, made.net.now
+    custody.tries = {str(n): None for n in range(5000)}  # type: ignore[misc]
+    told = custody.claim(now, 1, "h/x", True, b"", now + 10, now + 10)
+    assert [x.verdict for x in told if hasattr(x, "verdict")] == [Verdict.UNKEPT]
+
+
+def main() -> None:
+    """Random schedules by the hundred: `python -m tests.test_custody FIRST LAST`."""
+    import sys
+    from concurrent.futures import ProcessPoolExecutor
+
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    with ProcessPoolExecutor() as pool:
+        for seed, told in zip(range(first, last), pool.map(_told, range(first, last)), strict=True):
+            if told:
+                print(seed, told, flush=True)
+    print(f"{last - first} schedules")
+
+
+def _told(seed: int) -> str:
+    try:
+        made = rough(seed)
+    except AssertionError as error:
+        return f"no roster: {str(error)[:300]}"
+    unknown = sum(x.custody.counters.unknown for x in made.keepers)
+    return "; ".join([*made.broken(), *([] if unknown else made.unowned())])
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_lab_custody.py
+++ b/tests/test_lab_custody.py
@@ -14,7 +14,8 @@
 from cloverhinge import console
 from cloverhinge.lab.media import MediaBox, set_ups
 from cloverhinge.lab.rig import Rig, Router, rig
-from cloverhinge.lab.viewers import custody_tables, play
+from cloverhinge.lab.viewers import custody_tables, play, set_up
+from tests import guards
 
 SOON_S = 20.0  # for what has to come, also on a busy machine
 
@@ -28,7 +29,7 @@
 def keeping(folder: Path, count: int = 5, titles: int = 20, **more: Any) -> Iterator[Rig]:
     boxes = [MediaBox(f"s-{n:08x}", n % 3) for n in range(4)]
     tables = custody_tables([x.name for x in boxes], [x.origin for x in boxes], titles, count, idle_s=120.0)
-    with rig(folder, count, pumps=boxes, tables=tables, **more) as made:
+    with rig(folder, count, pumps=boxes, tables=tables, program=guards.program(), **more) as made:
         until_rostered(made)
         yield made
         twice = {title: n for title, n in set_ups(made.record).items() if n > 1}
@@ -220,3 +221,127 @@
             assert final(made, made[(number + 3) % 5], number)[0] == 200
         assert not any(made.record.of("released")), made.record.tail()
         assert sum(status(made, x)["owned"] for x in range(5)) == 10
+
+
+def owners(made: Rig) -> int:
+    return sum(status(made, x.number)["owned"] for x in made.routers if x.running)
+
+
+def until_told(made: Rig, what: str, holds: Any) -> None:
+    """For what only a router's status tells: asked again and again."""
+    deadline = time.monotonic() + SOON_S
+    while not holds():
+        assert time.monotonic() < deadline, (what, made.record.tail())
+        made.record.pause(0.05)
+
+
+def boxes_of(made: Rig) -> list[MediaBox]:
+    return [x for x in made.pumps if isinstance(x, MediaBox)]
+
+
+def test_sessions_over_rtsp_go_on_without_their_viewers_and_end_where_they_went(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        wires = []
+        for number, kind in ((0, "paid"), (1, "free"), (2, "paid")):
+            wire, answer = set_up(made, made[1], f"{number + 1:016x}", f"t{number}", kind)
+            assert answer is not None and answer.status == 200
+            wires.append(wire)
+        until_told(made, "all are kept", lambda: owners(made) == 3)
+        made[1].kill()
+        until_told(made, "others have them", lambda: owners(made) == 3)
+        # The viewer comes back with the same set-up: it stands, and is not set up again.
+        wire, answer = set_up(made, made[2], f"{1:016x}", "t0")
+        assert answer is not None and answer.status == 200 and answer.body.startswith(b"made by ")
+        for box in boxes_of(made):
+            for session in list(box.sessions):
+                box.end(session)
+        until_told(made, "their ends are heard", lambda: owners(made) == 0)
+        assert not any(made.record.of("released"))
+
+
+def test_a_viewer_s_end_that_waited_in_a_paused_router_ends_no_successor_s_session(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        wire, answer = set_up(made, made[1], f"{9:016x}", "t0")
+        assert answer is not None and answer.status == 200
+        made[1].pause()
+        wire.send("TEARDOWN rtsp://media/t0 RTSP/1.0", f"{9:016x}", 2)
+        others = [x for x in made.routers if x is not made[1]]
+        until_told(made, "another has it", lambda: sum(status(made, x.number)["owned"] for x in others) == 1)
+        made[1].wake()
+        until(made, "it was away", lambda: bool(made[1].said("away for")))
+        until_told(made, "it gives it up", lambda: status(made, 1)["owned"] == 0)
+        later_kill(made, 1)
+        assert not any(made.record.of("released")), made.record.tail()
+
+
+def later_kill(made: Rig, number: int) -> None:
+    """What was to come of it before has come by the time that the others hold a roster without it."""
+    made[number].kill()
+    until_rostered(made)
+
+
+def test_an_owner_that_is_heard_by_nobody_but_viewers_and_boxes(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        assert play(made, made[1], 0)[0] == 200
+        others = [x.name for x in made.routers if x is not made[1]]
+        made.hub.cut(["r1"], others, both=False)
+        assert play(made, made[1], 0)[0] == 200  # its viewers are served on
+        assert final(made, made[2], 0)[0] == 200
+        refused = play(made, made[1], 1)[0]
+        assert refused == 503, refused  # a new one can't be kept
+        made.hub.heal()
+        until_told(made, "it gives up what it lost", lambda: status(made, 1)["owned"] == 0)
+        until_rostered(made)
+        assert final(made, made[1], 0)[0] == 200 and final(made, made[1], 1)[0] == 200
+        assert not any(made.record.of("released"))
+
+
+def test_a_split_with_viewers_on_both_sides(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        for number in range(8):
+            assert play(made, made[number % 5], number)[0] == 200
+        made.hub.cut(["r0", "r1"], ["r2", "r3", "r4"])
+        made.until_agreed(made.routers[2:], SOON_S)
+        for number in range(8):
+            assert play(made, made[number % 5], number)[0] in (200, 503, 502)
+            assert final(made, made[2 + number % 3], number)[0] in (200, 502)  # unknown where both kept it
+        assert play(made, made[0], 10)[0] == 503
+        assert final(made, made[3], 10)[0] == 200
+        made.hub.heal()
+        until_rostered(made)
+        standing = sum(len(x.sessions) for x in boxes_of(made))
+        until_told(made, "one owner each", lambda: owners(made) <= standing)
+        assert final(made, made[0], 10)[0] == 200
+
+
+def test_a_keeper_that_restarts_empty_before_the_owner_is_lost(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        boxes = boxes_of(made)
+        for box in boxes:
+            box.before.clear()
+        first = later(made, lambda: play(made, made[1], 0))
+        until(made, "the set-up has left", lambda: asked(made, "t0"))
+        keeper = next(int(x[1:]) for x in custody_of(made, 1, 0)["keepers"] if x != "r1")
+        made[keeper].kill()
+        made[keeper].start()
+        made[keeper].until_started()
+        made[1].kill()
+        first.join(SOON_S)
+        for box in boxes:
+            box.before.set()
+        there = next(x for x in made.routers if x.running)
+        assert final(made, there, 0)[0] == 502
+
+
+def test_a_box_that_drains_while_its_session_is_taken_over(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        assert play(made, made[1], 0)[0] == 200
+        assert play(made, made[1], 1, "free")[0] == 200
+        drained = [x for x in boxes_of(made) if x.sessions]
+        made[1].kill()
+        made.log.tell([box.row("leaving") for box in drained])
+        at = made.record.now()
+        assert final(made, made[3], 0)[0] == 410  # a paid one ends with its box
+        assert final(made, made[3], 1, "free")[0] == 200  # a repeatable one is set up elsewhere
+        late = [x for x in made.record.of("asked", since_ms=at + 250.0) if x.who in {y.name for y in drained}]
+        assert not late, late
