--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -931,8 +931,7 @@
         work: Work
         if attempt.reason == "keep":
             held = self.held.get(attempt.id)
-            if held is None or found is not None and (found.epoch, found.owner) != (
-                    held.work.epoch, held.work.owner) and found.epoch >= held.work.epoch:
+            if held is None or not self._mine_still(held, found):
                 del self.tries[attempt.id]
                 if held is not None and found is not None:
                     self._lose(attempt.id, found.owner, not register.owned(found))
@@ -963,6 +962,12 @@
         attempt.refusals = {}
         self._ask(now, attempt)
 
+    def _mine_still(self, held: Held, found: Work | None) -> bool:
+        """Whether what keepers have is this owner's, or what it was before; handed on, just what it wrote."""
+        if found is None or found.epoch < held.work.epoch:
+            return True
+        return found == held.work if held.to else (found.epoch, found.owner) == (held.work.epoch, self.who)
+
     def _written(self, now: float, who: str, told: wire.Written) -> None:
         attempt, held = self.tries.get(told.id), self.held.get(told.id)
         if attempt is not None and attempt.stage in (Stage.CLAIM, Stage.WRITE) \
