Custody: a claim that is given up is withdrawn, and what was refused is asked again while others are away

Where one of three keepers was away and one denied, a try waited for the first until its time was up; a claim that one keeper had taken denied others there for as long as its router lived.

--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -464,6 +464,8 @@
                 self._given(now, who, item)
             case wire.NotGiven():
                 self._not_given(now, item)
+            case wire.Withdraw():
+                self.keeper.withdraw(now, item)
             case wire.Seen():
                 self._answered(who, item.of)
             case wire.Mine():
@@ -877,12 +879,16 @@
             self._begin(now, attempt)  # one of them does not answer: most are enough, with a question first
         elif attempt.stage is Stage.CLAIM and now - attempt.sent_ms >= RESEND_MS:
             self._begin(now, attempt)  # one of them does not answer: most are enough, with a question first
+        elif now - attempt.sent_ms >= attempt.pause_ms and attempt.refusals:
+            self._give_way(now, attempt)  # the others may be away: what was refused is asked again
         elif now - attempt.sent_ms >= attempt.pause_ms:
             attempt.pause_ms = min(2.0 * attempt.pause_ms, 4.0 * RESEND_MS)
             self._ask(now, attempt)
 
     def _begin(self, now: float, attempt: Try) -> None:
         """A new ballot, over those who keep it now."""
+        if attempt.stage is Stage.CLAIM:
+            self._withdraw(attempt)
         attempt.keepers = self.keepers(attempt.id)
         if not attempt.keepers:
             return  # there is no roster yet
@@ -902,6 +908,11 @@
         attempt.found, attempt.claims, attempt.pause_ms = None, False, RESEND_MS
         self._ask(now, attempt)
 
+    def _withdraw(self, attempt: Try) -> None:
+        """A keeper that took it alone would deny others for as long as this router lives."""
+        for who in attempt.keepers:
+            self._to(who, wire.Withdraw(attempt.id, attempt.ballot))
+
     def _ask(self, now: float, attempt: Try) -> None:
         attempt.sent_ms = now
         ask: wire.Items
@@ -1034,12 +1045,18 @@
         left = len(attempt.keepers) - len(attempt.refusals)
         if attempt.stage is not Stage.CLAIM and left >= register.majority(len(attempt.keepers)):
             return
+        self._give_way(now, attempt)
+
+    def _give_way(self, now: float, attempt: Try) -> None:
+        """This ballot comes to nothing: another has a higher one, or its owner a lease."""
         refusals, claimed = list(attempt.refusals.values()), attempt.stage is Stage.CLAIM
+        if claimed:
+            self._withdraw(attempt)
         attempt.stage, attempt.next_ms = Stage.WAIT, now + self.random.uniform(0.2, 1.0) * BACKOFF_MS
         leases = [x for x in refusals if x.why is Why.LEASE]
         if leases:
             attempt.owner = leases[0].owner
-            if attempt.reason == "keep":
+            if attempt.reason == "keep" and len(leases) >= register.majority(len(attempt.keepers)):
                 del self.tries[attempt.id]
                 self._lose(attempt.id, attempt.owner)
             elif attempt.reason in ("claim", "find") and attempt.owner in self.alive:
--- a/cloverhinge/custody/keeper.py
+++ b/cloverhinge/custody/keeper.py
@@ -72,6 +72,12 @@
         assert isinstance(reply, register.Denied)
         return wire.Refused(told.id, told.ballot, Why.BALLOT, reply.promised)
 
+    def withdraw(self, now: float, told: wire.Withdraw) -> None:
+        """Its promise stays, so that no late copy of the claim is taken."""
+        slot = self.slots.get(told.id, EMPTY)
+        if slot.accepted == told.ballot and told.ballot[0] == register.CLAIM and told.ballot[2] == 0:
+            self._put(now, told.id, Slot(slot.promised))
+
     def _fence(self, owner: str) -> None:
         """What this owner counts as written here is not any more, until it has been written again."""
         self.fences += 1
--- a/cloverhinge/custody/wire.py
+++ b/cloverhinge/custody/wire.py
@@ -209,6 +209,13 @@
     of: Number
 
 
+class Withdraw(Item, tag=24, frozen=True):
+    """A claim that not all have taken, and that is given up: as if it had not been taken here."""
+
+    id: Id
+    ballot: Ballot
+
+
 class Mine(Item, tag=21, frozen=True):
     """Which records of mine do you keep, by id after this one?"""
 
@@ -222,7 +229,7 @@
 
 Items = (Prepare | Promised | Write | Written | Refused | Hi | Granted | Lapsed | RosterAsk | RosterPromised
          | RosterWrite | RosterWritten | RosterRefused | Known | Tell | Heard | GiveMe | Given | NotGiven
-         | Thanks | Mine | Yours | Seen)
+         | Thanks | Mine | Yours | Seen | Withdraw)
 
 
 class Body(msgspec.Struct, array_like=True, frozen=True):
