--- a/benchmarks/custody.py
+++ b/benchmarks/custody.py
@@ -99,12 +99,12 @@
             for one in plays:
                 assert play(made, victim, one)[0] == 200
             others = [x for x in made.routers if x is not victim]
-            before = sum(custody(x)["owned"] for x in others) if on else 0
+            before = sum(custody(x)["taken_over"] for x in others) if on else 0
             at = made.record.now()
             victim.kill()
             if on:
                 until(made, "all are owned again", lambda others=others, before=before: sum(
-                    custody(x)["owned"] for x in others) >= before + PLAYS)
+                    custody(x)["taken_over"] for x in others) >= before + PLAYS)
                 owned.append(made.record.now() - at)
             for one in plays:
                 answers[final(made, draw.choice(others), one)] += 1
