--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -219,6 +219,12 @@
         if held is not None and held.work.phase in register.ACTING:
             self._act(self.core.update(self.clock.now(), id, Phase.OVER, held.work.body))
 
+    def change(self, id: str, phase: Phase) -> None:
+        """What the front keeps of it stays as it is."""
+        held = self.core.held.get(id)
+        if held is not None:
+            self._act(self.core.update(self.clock.now(), id, phase, held.work.body))
+
     def _update(self, id: str, phase: Phase, kept: Kept) -> None:
         self._act(self.core.update(self.clock.now(), id, phase, encode(kept)))
 
@@ -377,9 +383,14 @@
         why = ""
         if work.phase is Phase.STANDS:
             kept = read(work)
-            why = ("this router has no such front" if wire is None else "it is of another version"
-                   if kept is None else "its box is not listed" if kept.server not in self.router.listings
-                   else "" if wire.adopt(id, kept) else "no room, or its title is unknown")
+            if wire is None:
+                why = "this router has no such front"
+            elif kept is None:
+                why = "it is of another version"
+            elif kept.server >= 0 and kept.server not in self.router.listings:
+                why = "its box is not listed"
+            elif not wire.adopt(id, kept):
+                why = "no room, or its title is unknown"
             if why:
                 self.log.warn("{name}: custody: {id} can't go on here: {why}", name=self.members.name, id=id,
                               why=why)
--- a/cloverhinge/door/fair.py
+++ b/cloverhinge/door/fair.py
@@ -246,6 +246,15 @@
         self._tidy(lane)
         return self.out
 
+    def promised(self, now: float, one: Arrival) -> Promise | None:
+        """The promise that this arrival would be let in on, now or at its time."""
+        return self._promise(self.clients[one.client], one, now)
+
+    def void(self, client: int, promise: Promise) -> None:
+        """It was claimed at another router, so it counts for nothing here."""
+        of = self.clients[client]
+        self._uncount(of, of.promises.claim(promise))
+
     def changed(self, now: float) -> list[Verdict]:
         """Something has left, or the fleet is another: room may have come."""
         self._forget_room()
--- a/cloverhinge/door/gate.py
+++ b/cloverhinge/door/gate.py
@@ -4,7 +4,9 @@
 
 import hashlib
 import secrets
-from typing import Any
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, Protocol
 
 from twisted.logger import Logger
 
@@ -26,6 +28,16 @@
 SERIAL_BITS = 20  # of a run's serials, which start at its start in ms: no later run begins below them
 
 
+class Claims(Protocol):
+    """Sees to it that a promise is claimed once, whichever router its viewer comes to."""
+
+    def claim(self, promise: Promise, call: Callable[[bool], None]) -> None:
+        """Call it with whether this router may honour the promise, soon."""
+
+    def settle(self, promise: Promise, claimed: bool) -> None:
+        """Its viewer was let in or may wait on it; or came early, and may come to any router again."""
+
+
 class Gate:
     log = Logger()
 
@@ -49,6 +61,7 @@
         self.ticking: Key | None = None
         self.changing: Key | None = None
         self.closed = False
+        self.claims: Claims | None = None  # of promises, where other routers may have made them
         router.door = self
         self.fleet_changed()
 
@@ -58,7 +71,25 @@
         if self.closed:
             self.router.turn_away(request, CLOSED_MS, "")
             return
-        self._carry_out(self.door.arrive(self.clock.now(), self._arrival(request)))
+        arrival = self._arrival(request)
+        promise = None if self.claims is None else self.door.promised(self.clock.now(), arrival)
+        if promise is None or self.claims is None:
+            self._carry_out(self.door.arrive(self.clock.now(), arrival))
+        else:
+            self.claims.claim(promise, lambda mine: self._claimed(request, promise, mine))
+
+    def _claimed(self, request: Request, promise: Promise, mine: bool) -> None:
+        """Other routers have been asked: a promise that was claimed at one of them is none any more."""
+        if request.state is not State.OPEN or self.claims is None:
+            return
+        arrival = self._arrival(request)
+        if not mine:
+            self.door.void(arrival.client, promise)
+            arrival = replace(arrival, promise=None)
+        verdicts = self.door.arrive(self.clock.now(), arrival)
+        if mine:
+            self.claims.settle(promise, not self.door.clients[arrival.client].promises.open(promise))
+        self._carry_out(verdicts)
 
     def refused(self, request: Request, hold_off_ms: float) -> tuple[float, str]:
         """The module refused one that was let in: never sooner than it says."""
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -87,6 +87,10 @@
             self.custody = Custody(site.custody, self.members, self.router, self.clock, self.deadlines,
                                    config.seed)
             KeptSessions(self.custody, self.router, self.front, self.pumps)
+            if self.gate is not None and site.door is not None:
+                from cloverhinge.door.custody import KeptPromises
+
+                KeptPromises(self.custody, self.gate, site.door.quote_most_ms)
             self.parts.append(self.custody)
         self.started_ms = self.clock.now()
 
--- a/tests/test_lab_custody.py
+++ b/tests/test_lab_custody.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -14,6 +15,7 @@
 from cloverhinge import console
 from cloverhinge.lab.media import MediaBox, set_ups
 from cloverhinge.lab.rig import Rig, Router, rig
+from cloverhinge.lab.stand import SETTINGS, WAIT_S, Message, Pump, Wire
 from cloverhinge.lab.viewers import custody_tables, play, set_up
 from tests import guards
 
@@ -347,3 +349,33 @@
         assert final(made, made[3], 1, "free")[0] == 200  # a repeatable one is set up elsewhere
         late = [x for x in made.record.of("asked", since_ms=at + 250.0) if x.who in {y.name for y in drained}]
         assert not late, late
+
+
+def test_a_promise_of_one_router_is_honoured_by_another_and_claimed_once(tmp_path: Path) -> None:
+    small = {**SETTINGS["specifics"], "placesByKind": [2], "cells": 1}
+    tables = f'[door]\nkey = "{"d" * 32}"\nquote_most_s = 600\n[custody]\nrouters = 3\n'
+    with rig(tmp_path, 3, pumps=[Pump("s-00000000", 0)], tables=tables, program=guards.program(), gated=False,
+             specifics=small) as made:
+        until_rostered(made)
+
+        def ask(at: int, session: int, ticket: str = "") -> Message:
+            wire = Wire(socket.create_connection(made[at].ports["listening"], WAIT_S))
+            more: dict[str, Any] = {"X_Ticket": ticket} if ticket else {}
+            wire.send("SETUP rtsp://media/7f3a RTSP/1.0", f"{session:016x}", X_Call_Class="free",
+                      X_Ring_Limit="1000", X_Guess="60000.0",
+                      X_Dest=f"home:0;copies:1;top:0;viewer:{min(session, 3):016x}", **more)
+            told = wire.read()
+            wire.close()
+            assert told is not None
+            return told
+
+        def kept(at: int) -> int:
+            return sum(int(row["kept"]) for row in made[at].status()["clients"])
+
+        assert [ask(0, 1).status, ask(0, 2).status] == [200, 200]
+        refused = ask(0, 3)
+        assert refused.status == 503
+        ticket = refused.headers["x-ticket"]
+        assert ask(1, 4, ticket).status == 200 and kept(1) == 1  # that router has room: it is let in on it
+        assert ask(2, 5, ticket).status == 200 and kept(2) == 0  # let in as anybody: there is room
+        assert ask(0, 6, ticket).status == 503 and kept(0) == 0
