--- a/benchmarks/custody.py
+++ b/benchmarks/custody.py
@@ -23,7 +23,7 @@
 
 from benchmarks.members import OPTIMIZED, Rows, figures, share
 from benchmarks.tables import RESULTS, keep
-from cloverhinge.custody import core
+from cloverhinge.custody import core, model
 from cloverhinge.custody.register import Phase
 from cloverhinge.custody.wire import Member
 from cloverhinge.lab.media import MediaBox, set_ups
@@ -217,16 +217,16 @@
 
     def __init__(self) -> None:
         members = [Member(f"r{n}", n + 1, "main") for n in range(3)]
-        self.machines = {x.who: core.Custody(x, core.Rules(routers=3), x.run) for x in members}
+        self.machines = {x.who: core.Custody(x, model.Rules(routers=3), x.run) for x in members}
         self.now, self.bytes = 1000.0, 0
         for machine in self.machines.values():
             machine.view({x: 1 for x in members}, False, {})
         self.tick(100)
         self.owner = self.machines[members[0].who]
 
-    def act(self, own: str, actions: list[core.Action]) -> None:
+    def act(self, own: str, actions: list[model.Action]) -> None:
         for action in actions:
-            if isinstance(action, core.Send):
+            if isinstance(action, model.Send):
                 self.bytes += len(action.body)
                 other = self.machines[action.to.who]
                 self.act(action.to.who, other.heard(self.now, self.machines[own].own, action.body))
--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -10,8 +10,6 @@
 import random
 from collections import Counter, OrderedDict, deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
-from enum import Enum
 from itertools import islice
 
 import msgspec
@@ -19,12 +17,30 @@
 
 from cloverhinge.custody import place, register, wire
 from cloverhinge.custody.keeper import Keeper, above, intent
+from cloverhinge.custody.model import (
+    RESEND_MOST_MS,
+    RESEND_MS,
+    Action,
+    Answer,
+    Closed,
+    Counters,
+    Held,
+    Kept,
+    Lost,
+    Peer,
+    Rules,
+    Say,
+    Send,
+    Stage,
+    Took,
+    Try,
+    Verdict,
+)
 from cloverhinge.custody.register import NONE, Ballot, Phase, Slot, Work
 from cloverhinge.custody.rosters import Rosters
 from cloverhinge.custody.wire import Member, Roster, Why
 
 TICK_MS = 25.0  # pace of looking: what was lost on its way is sent again after two of them
-RESEND_MS, RESEND_MOST_MS = 50.0, 800.0  # each time after twice as long
 GRANT_SHARE = 0.9  # of a lease that its owner counts on: clocks may differ by a tenth before it errs
 RENEWALS = 3.0  # tries in a lease's time, so that two in a row may be lost
 HEARD = 2.0  # times a lease: who was not heard for so long takes no part
@@ -46,162 +62,6 @@
 SENT_KEPT = 8  # questions for a lease whose answers still count
 
 
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """What an installation sets; times in ms."""
-
-    keepers: int = 2  # losses that a record is to bear, and so one more holds a copy
-    lease_ms: float = 1500.0
-    routers: int = 1  # that the installation has
-    lasts_ms: float = 60_000.0  # an answer that stays is kept for so long
-    hole_ms: float = 60_000.0  # what was lost is unknown for so long
-
-
-class Verdict(Enum):
-    NEW = "new"  # the intent is this router's, and with the keepers: set it up
-    TAKEN = "taken"  # it stands, and is this router's from now on
-    FINAL = "final"  # answered for good
-    HELD = "held"  # another has it, and did not hand it over in time
-    UNKEPT = "unkept"  # its keepers could not be reached in time
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """To one run of one router."""
-
-    to: Member
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    number: int
-    verdict: Verdict
-    work: Work | None
-
-
-@dataclass(frozen=True, slots=True)
-class Took:
-    """This router changed the owner, or the verdict: what `found` had out is its to clear up."""
-
-    id: str
-    work: Work
-    found: Work | None  # None: handed over by its owner's word
-
-
-@dataclass(frozen=True, slots=True)
-class Lost:
-    """Not this router's any more; `to` took it, or is given it, and the box hears nothing of that.
-
-    `over`: it has been answered for good, and is nobody's, so that what stands at its box is to be released.
-    """
-
-    id: str
-    to: str
-    over: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Kept:
-    """What was written last of a record that this router owns is with its keepers."""
-
-    id: str
-    phase: Phase
-
-
-@dataclass(frozen=True, slots=True)
-class Closed:
-    """The end of a record that this router owned is with its keepers."""
-
-    id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Say:
-    text: str
-
-
-Action = Send | Answer | Took | Lost | Kept | Closed | Say
-
-
-@dataclass(slots=True)
-class Counters:
-    claimed: int = 0
-    taken_over: int = 0
-    handed_over: int = 0
-    received: int = 0  # of others by hand
-    unknown: int = 0
-    fenced: int = 0  # records lost to another
-    unkept: int = 0
-
-
-@dataclass(slots=True)
-class Peer:
-    member: Member
-    heard_ms: float = -1e12
-    proven_ms: float = -1e12  # when a question was sent that it has answered
-    lineage: int = 0
-    number: int = 0
-    active: bool = False
-    lived: bool = False
-    leaving: bool = False
-    generation: int = 0
-    until_ms: float = -1e12  # of its lease for this router, by this router's clock
-    asked: OrderedDict[int, float] = field(default_factory=OrderedDict)
-    asked_ms: float = -1e12
-    more_ms: float | None = None  # since when it keeps more records as this router's than that knows of
-    after: str = ""  # which of them it was asked about last
-
-
-@dataclass(slots=True)
-class Held:
-    """A record that this router owns, under a term of its own or one that it was given."""
-
-    id: str
-    work: Work
-    ballot: Ballot
-    chosen: Ballot  # the last one that a majority is known to have taken
-    keepers: tuple[str, ...]
-    written: set[str] = field(default_factory=set)  # keepers that have what was written last
-    holds: set[str] = field(default_factory=set)  # keepers that have this or an earlier write of this owner's
-    sent_ms: float = 0.0
-    pause_ms: float = RESEND_MS
-    to: str = ""  # to whom it is being handed
-
-
-class Stage(Enum):
-    WAIT = 0  # until `next_ms`
-    CLAIM = 1  # written as new, without a question
-    ASK = 2
-    WRITE = 3
-    HAND = 4  # its owner lives, and is asked for it
-
-
-@dataclass(slots=True)
-class Try:
-    id: str
-    reason: str  # claim, find, orphan, keep, mine
-    intent: Work
-    soon_ms: float  # it ends then, or at `until_ms` where the record is known to be another's
-    until_ms: float
-    numbers: list[int]
-    claims: bool  # the record may be new: it is written to all keepers at once
-    stage: Stage = Stage.WAIT
-    next_ms: float = 0.0
-    keepers: tuple[str, ...] = ()
-    ballot: Ballot = NONE
-    seen: Ballot = NONE
-    promises: dict[str, wire.Promised] = field(default_factory=dict)
-    refusals: dict[str, wire.Refused] = field(default_factory=dict)
-    written: dict[str, int] = field(default_factory=dict)  # keepers, and the generation of each
-    work: Work | None = None
-    found: Work | None = None
-    owner: str = ""
-    sent_ms: float = 0.0
-    pause_ms: float = RESEND_MS
-    wrote: bool = False  # its intent, as that of a new record
-
-
 class Custody:
     def __init__(self, own: Member, rules: Rules, seed: int) -> None:
         self.own, self.rules = own, rules
--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -17,9 +17,9 @@
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.model import Ask, Attempt, Boxes, Cause, Request, State, Viewer
 from cloverhinge.core.router import Router
-from cloverhinge.custody import core, register
-from cloverhinge.custody.core import Verdict
+from cloverhinge.custody import core, model, register
 from cloverhinge.custody.kept import Kept, encode, read
+from cloverhinge.custody.model import Verdict
 from cloverhinge.custody.register import Phase, Work
 from cloverhinge.custody.wire import Member
 from cloverhinge.decision.interface import Effect
@@ -94,7 +94,7 @@
 
     def start(self) -> None:
         own = Member(self.members.name, self.members.members.run, self.members.site.site)
-        rules = core.Rules(self.site.keepers, self.site.lease_ms, self.site.routers, self.lasts_ms,
+        rules = model.Rules(self.site.keepers, self.site.lease_ms, self.site.routers, self.lasts_ms,
                            self.lasts_ms)
         self.core = core.Custody(own, rules, self.seed)
         self.router.custody = self
@@ -176,26 +176,26 @@
 
     # Towards the core of custody
 
-    def _act(self, actions: list[core.Action]) -> None:
+    def _act(self, actions: list[model.Action]) -> None:
         for action in actions:
             match action:
-                case core.Send(to, body):
+                case model.Send(to, body):
                     self.members.carry(to.name, to.run, self.key, body)
-                case core.Answer(number, verdict, work):
+                case model.Answer(number, verdict, work):
                     call = self._asked.pop(number, None)
                     if call is not None:
                         call(verdict, work)
-                case core.Took(id, work, found):
+                case model.Took(id, work, found):
                     self._took(id, work, found)
-                case core.Lost(id, _, over):
+                case model.Lost(id, _, over):
                     self._lost(id, over)
-                case core.Kept(id, phase):
+                case model.Kept(id, phase):
                     if phase is Phase.STANDS:
                         self._tell(id)
                     self._released(id)
-                case core.Closed(id):
+                case model.Closed(id):
                     self._released(id)
-                case core.Say(text):
+                case model.Say(text):
                     self.log.info("{name}: custody: {text}", name=self.members.name, text=text)
 
     def ask(self, call: Callable[[Verdict, Work | None], None]) -> int:
--- a/cloverhinge/door/custody.py
+++ b/cloverhinge/door/custody.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from cloverhinge.core.model import Request
-from cloverhinge.custody.core import Verdict
 from cloverhinge.custody.kept import Kept
+from cloverhinge.custody.model import Verdict
 from cloverhinge.custody.part import Part
 from cloverhinge.custody.register import Phase, Work
 from cloverhinge.door.fair import WINDOW_MOST_MS
--- a/cloverhinge/emulator/keeping.py
+++ b/cloverhinge/emulator/keeping.py
@@ -9,8 +9,9 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from cloverhinge.custody.core import TICK_MS, Action, Answer, Custody, Kept, Lost, Rules, Say, Took, Verdict
-from cloverhinge.custody.core import Send as SendTo
+from cloverhinge.custody.core import TICK_MS, Custody
+from cloverhinge.custody.model import Action, Answer, Kept, Lost, Rules, Say, Took, Verdict
+from cloverhinge.custody.model import Send as SendTo
 from cloverhinge.custody.register import Phase
 from cloverhinge.custody.wire import Member
 from cloverhinge.emulator.network import Address, Way
--- a/cloverhinge/hls/custody.py
+++ b/cloverhinge/hls/custody.py
@@ -8,8 +8,8 @@
 from twisted.internet.defer import Deferred
 
 from cloverhinge.core.model import Ask, Request, State
-from cloverhinge.custody.core import Verdict
 from cloverhinge.custody.kept import Kept
+from cloverhinge.custody.model import Verdict
 from cloverhinge.custody.part import SOON_MS, Part
 from cloverhinge.custody.register import Phase, Work
 from cloverhinge.hls.boxes import HlsBoxes
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cloverhinge.custody import place, register
-from cloverhinge.custody.core import Verdict
+from cloverhinge.custody.model import Verdict
 from cloverhinge.custody.register import EMPTY, Accepted, Denied, Phase, Slot, Work
 from cloverhinge.custody.wire import Hole, Member
 from cloverhinge.emulator.keeping import Fetch, Keepers, rough
