--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -895,8 +895,9 @@
         self._idle.pop(attempt.id, None)
         if mine:
             self._own(now, attempt)
-        if found is not None and found != work and found.owner != self.who:
-            self.counters.taken_over += 1
+        again = found is not None and mine and found.owner == self.who and bool(found.past)
+        if found is not None and (found != work and found.owner != self.who or again):
+            self.counters.taken_over += 1  # (again: taken before, and its keepers' answers came too late)
         elif found is None:
             self.counters.claimed += 1
         if found is not None and (found != work or mine):
