Custody: an item is encoded once, and copies that nobody waits for leave together

Set-ups of repeatable work in a closed loop went down to a third: each write and answer was a datagram of its own, and encoded twice. Where nobody waits they leave every 5 ms.

--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -79,7 +79,8 @@
         self.counters = Counters()
         self.leaving = False
         self._out: list[Action] = []
-        self._outbox: dict[str, list[wire.Items]] = {}
+        self._outbox: dict[str, list[msgspec.Raw]] = {}
+        self._pressing = False
         self._local: deque[wire.Items] = deque()
         self._unwritten: dict[str, None] = {}  # records that some keeper does not hold yet, in order
         self._orphans: SortedDict[tuple[float, str], None] = SortedDict()
@@ -142,6 +143,7 @@
 
     def due(self, now: float) -> list[Action]:
         self.keeper.lapse(now)
+        self._pressing = bool(self._outbox)
         self._say_hi(now)
         self._change_rosters(now)
         for id in [x.id for x in self.tries.values()]:
@@ -162,8 +164,8 @@
         return self._done(now)
 
     def claim(self, now: float, number: int, id: str, paid: bool, body: bytes, soon_ms: float,
-              until_ms: float) -> list[Action]:
-        """A viewer came for it.
+              until_ms: float, soon: bool = False) -> list[Action]:
+        """A viewer came for it; `soon`: he does not wait for it to be kept.
 
         `Answer` follows by `soon_ms`, by `until_ms` where another has it, at once where it is here already.
         """
@@ -187,7 +189,7 @@
             self._unqueue(id)
             seen = NONE if held is None else held.ballot
             self._try(now, Try(id, "claim", intent(self.who, paid, body), soon_ms, until_ms, [number], True,
-                               seen=seen))
+                               seen=seen, soon=soon))
         return self._done(now)
 
     def find(self, now: float, number: int, id: str, soon_ms: float, until_ms: float) -> list[Action]:
@@ -250,33 +252,49 @@
 
     # Messages
 
-    def _to(self, who: str, item: wire.Items) -> None:
+    def _to(self, who: str, item: wire.Items, soon: bool = False) -> None:
+        """`soon`: nobody waits for it, so that it may travel with others."""
         if who == self.who:
             self._local.append(item)
         else:
-            self._outbox.setdefault(who, []).append(item)
+            self._outbox.setdefault(who, []).append(wire.pack(item))
+            self._pressing = self._pressing or not soon
+
+    @property
+    def waiting(self) -> bool:
+        """Whether something is to be sent by `flush` soon."""
+        return bool(self._outbox)
+
+    def flush(self, now: float) -> list[Action]:
+        self._pressing = True
+        return self._done(now)
 
     def _done(self, now: float) -> list[Action]:
         while self._local:
             self._take(now, self.who, self._local.popleft(), self._roster)
+        if self._pressing:
+            self._pressing = False
+            self._send()
+        done, self._out = self._out, []
+        return done
+
+    def _send(self) -> None:
         lineage, number = self._roster
         outbox, self._outbox = self._outbox, {}
         for who, items in outbox.items():
             peer = self.peers.get(who)
             if peer is None:
                 continue
-            batch: list[wire.Items] = []
+            batch: list[msgspec.Raw] = []
             room = wire.BATCH_BYTES
             for item in items:
-                size = wire.size(item)
+                size = len(bytes(item))
                 if batch and size > room:
-                    self._out.append(Send(peer.member, wire.encode(wire.Body(lineage, number, batch))))
+                    self._out.append(Send(peer.member, wire.encode(lineage, number, batch)))
                     batch, room = [], wire.BATCH_BYTES
                 batch.append(item)
                 room -= size
-            self._out.append(Send(peer.member, wire.encode(wire.Body(lineage, number, batch))))
-        done, self._out = self._out, []
-        return done
+            self._out.append(Send(peer.member, wire.encode(lineage, number, batch)))
 
     @property
     def _roster(self) -> tuple[int, int]:
@@ -285,7 +303,7 @@
     def _take(self, now: float, who: str, item: wire.Items, roster: tuple[int, int]) -> None:
         match item:
             case wire.Prepare() | wire.Write():
-                self._to(who, self._vote(now, who, item, roster))
+                self._to(who, self._vote(now, who, item, roster), isinstance(item, wire.Write) and item.soon)
             case wire.Promised():
                 self._promised(now, who, item)
             case wire.Written():
@@ -616,10 +634,11 @@
     def _send_to_keepers(self, now: float, held: Held) -> None:
         held.sent_ms = now
         self._unwritten[held.id] = None
-        write = wire.Write(held.id, held.ballot, held.work)
+        soon = not held.work.paid and not held.to
+        write = wire.Write(held.id, held.ballot, held.work, soon=soon)
         for who in held.keepers:
             if who not in held.written:
-                self._to(who, write)
+                self._to(who, write, soon)
 
     def _rewrite(self, now: float) -> None:
         for id in list(islice(self._unwritten, REWRITES_TICK)):
@@ -787,11 +806,12 @@
             answered = attempt.promises.keys() | attempt.refusals.keys()
         else:
             assert attempt.work is not None
-            ask = wire.Write(attempt.id, attempt.ballot, attempt.work, attempt.stage is Stage.CLAIM)
+            ask = wire.Write(attempt.id, attempt.ballot, attempt.work, attempt.stage is Stage.CLAIM,
+                             attempt.soon)
             answered = attempt.written.keys() | attempt.refusals.keys()
         for who in attempt.keepers:
             if who not in answered:
-                self._to(who, ask)
+                self._to(who, ask, attempt.soon and attempt.stage is not Stage.ASK)
 
     def _promised(self, now: float, who: str, told: wire.Promised) -> None:
         attempt = self.tries.get(told.id)
--- a/cloverhinge/custody/model.py
+++ b/cloverhinge/custody/model.py
@@ -167,3 +167,4 @@
     sent_ms: float = 0.0
     pause_ms: float = RESEND_MS
     wrote: bool = False  # its intent, as that of a new record
+    soon: bool = False  # nobody waits for it
--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -14,7 +14,7 @@
 from twisted.logger import Logger
 
 from cloverhinge.core.clock import Clock
-from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.core.deadlines import Deadlines, Key
 from cloverhinge.core.model import Ask, Attempt, Boxes, Cause, Request, State, Viewer
 from cloverhinge.core.router import Router
 from cloverhinge.custody import core, model, register
@@ -30,6 +30,7 @@
 from cloverhinge.site.model import CustodySite
 
 SOON_MS = 500.0  # for keepers to answer a paid claim: ten times what was sent is sent again in that time
+FLUSH_MS = 5.0  # copies that nobody waits for leave together: so long a killed router may take one with it
 KEPT_MS = 250.0  # that a paid answer waits for the keepers to have it, at the most
 ROOM_MS = 1000.0  # between looks at the members' room
 LASTS_MS = 60_000.0  # an answer that stays is kept for so long at least
@@ -81,6 +82,7 @@
         self.unkept: OrderedDict[str, None] = OrderedDict()  # served without keepers
         self._sure: tuple[Request | None, bool] = (None, False)  # of the last one that ended
         self._adopting = False
+        self._flushing: Key | None = None
         self._changed = True
         self._room_ms = -1e12
         self._room: dict[str, float] = {}
@@ -197,6 +199,12 @@
                     self._released(id)
                 case model.Say(text):
                     self.log.info("{name}: custody: {text}", name=self.members.name, text=text)
+        if self.core.waiting and self._flushing is None:
+            self._flushing = self.deadlines.after(FLUSH_MS, self._flush)
+
+    def _flush(self) -> None:
+        self._flushing = None
+        self._act(self.core.flush(self.clock.now()))
 
     def ask(self, call: Callable[[Verdict, Work | None], None]) -> int:
         self._count += 1
@@ -254,7 +262,7 @@
             self.router.send(attempt)
         elif not self._paid(request):
             self.claim(id, False, kept, SOON_MS, self.clock.now() + SOON_MS,
-                        lambda verdict, work: self._copied(request, verdict, work))
+                       lambda verdict, work: self._copied(request, verdict, work), soon=True)
             self.router.send(attempt)
         else:
             self.claim(id, True, kept, SOON_MS, attempt.until_ms,
--- a/cloverhinge/custody/wire.py
+++ b/cloverhinge/custody/wire.py
@@ -84,6 +84,7 @@
     ballot: Ballot
     work: Work
     new: bool = False  # see `register.accept`
+    soon: bool = False  # nobody waits for it: its answer may travel with others
 
 
 class Written(Item, tag=4, frozen=True):
@@ -240,12 +241,24 @@
     items: Annotated[list[Items], Meta(max_length=1024)]
 
 
+class Packed(msgspec.Struct, array_like=True, frozen=True):
+    """A body whose items are encoded already."""
+
+    lineage: int
+    number: int
+    items: list[msgspec.Raw]
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
 
 
-def encode(body: Body) -> bytes:
-    return _encoder.encode(body)
+def pack(item: object) -> msgspec.Raw:
+    return msgspec.Raw(_encoder.encode(item))
+
+
+def encode(lineage: int, number: int, items: list[msgspec.Raw]) -> bytes:
+    return _encoder.encode(Packed(lineage, number, items))
 
 
 def size(item: object) -> int:
