--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -212,9 +212,10 @@
         return self._count
 
     def claim(self, id: str, paid: bool, kept: Kept, soon_ms: float, until_ms: float,
-               call: Callable[[Verdict, Work | None], None]) -> None:
+              call: Callable[[Verdict, Work | None], None], soon: bool = False) -> None:
+        """`soon`: its viewer does not wait for it."""
         now = self.clock.now()
-        self._act(self.core.claim(now, self.ask(call), id, paid, encode(kept), now + soon_ms, until_ms))
+        self._act(self.core.claim(now, self.ask(call), id, paid, encode(kept), now + soon_ms, until_ms, soon))
 
     def find(self, id: str, soon_ms: float, until_ms: float, call: Callable[[Verdict, Work | None], None],
              ) -> None:
