--- a/tests/test_custody_model.py
+++ b/tests/test_custody_model.py
@@ -251,7 +251,7 @@
 
 @pytest.mark.parametrize("rules, starts", [
     (Rules(crashes=0), claims()), (Rules(), losses()),
-    (Rules(crashes=0, claims=True, leases=False, fences=False, tries=1), claims())])
+    (Rules(crashes=0, claims=True, tries=1), claims())])
 def test_no_order_of_events_pays_twice_or_gives_two_owners(rules: Rules, starts: list[World]) -> None:
     states, broken = explored(rules, starts)
     assert not broken and states > (500 if rules.claims else 10_000), (states, broken)
--- a/tests/test_lab_members.py
+++ b/tests/test_lab_members.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -53,9 +54,13 @@
         rows = {x["name"]: x for x in made[0].status()["members"]["list"]}
         assert rows["r1"]["incarnation"] == 2 and rows["r1"]["state"] == "alive"
         (tmp_path / "show.toml").write_text('[admin]\nlisten = "%s:%d"\n' % made[0].ports["admin"])
-        table = subprocess.run([sys.executable, "-m", "cloverhinge", "members", "--site",
-                                str(tmp_path / "show.toml")], cwd=ROOT, capture_output=True, text=True).stdout
-        assert "5 of 5 in" in table and len([x for x in table.splitlines() if " of 4 " in x]) == 5, table
+        deadline, table = time.monotonic() + SOON_S, ""
+        while len([x for x in table.splitlines() if " 4 of 4 " in x]) < 5:  # heard by all, a moment later
+            assert time.monotonic() < deadline, table
+            table = subprocess.run([sys.executable, "-m", "cloverhinge", "members", "--site",
+                                    str(tmp_path / "show.toml")], cwd=ROOT, capture_output=True,
+                                   text=True).stdout
+        assert "5 of 5 in" in table, table
 
 
 def test_restarted_at_once_under_the_same_name(tmp_path: Path) -> None:
