Custody: an RTSP session that its viewer came for stays owned; the rig's routers have change logs of their own

Seen by a test of a set-up lost on its way to the box: the cut had no effect, as every router heard the gates of the one started last, and the session that another router then resumed was written OVER, as the request that came for it was concluded. Both mended: the request ends without a word on the record, and each router is told its own gates. Kills before the intent is kept and between intent and box are tests now.

--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -277,7 +277,11 @@
         if verdict is Verdict.NEW:
             self.router.send(attempt)
         elif verdict is Verdict.TAKEN and kept is not None:
-            self.router.resume(request, kept.server, kept.answer)
+            self._adopting = True  # the record goes on; only the request that came for it ends
+            try:
+                self.router.resume(request, kept.server, kept.answer)
+            finally:
+                self._adopting = False
         elif verdict is Verdict.UNKEPT and self.site.serve:
             self.note(self.unkept, self._id(request))
             self.router.send(attempt)
@@ -350,6 +354,8 @@
             self._update(id, Phase.STANDS, kept)
 
     def over(self, request: Request) -> None:
+        if self._adopting:
+            return
         id = self._id(request)
         self._tell(id, request)
         self._answers.pop(id, None)
--- a/cloverhinge/lab/rig.py
+++ b/cloverhinge/lab/rig.py
@@ -45,6 +45,7 @@
         self.view: tuple[int, str, int] | None = None  # number, digest, members in it
         self.lives = 0
         self.begun_ms = 0.0  # of this run
+        self.log = ChangeLog()  # its own, as its gates to the boxes are
         self.readers: list[threading.Thread] = []
 
     @property
@@ -56,8 +57,8 @@
         rig = self.rig
         self.ports, self.view = {}, None
         self.lives += 1
-        known = {"seq": 1, "results": [rig.log.event(rig.rows(self), full=True)]} if rig.pumps else {}
-        told = Program.configuration(self.name, rig.log, known, **{**rig.settings, **settings})
+        known = {"seq": 1, "results": [self.log.event(rig.rows(self), full=True)]} if rig.pumps else {}
+        told = Program.configuration(self.name, self.log, known, **{**rig.settings, **settings})
         told["seed"] = f"{rig.seed * 1000 + self.number * 10 + self.lives:016x}"
         told["listen"] = f"{self.host}:0"
         (self.folder / "config.json").write_text(json.dumps(told))
@@ -152,7 +153,8 @@
         place = os.getpid() + 1009 * next(_rigs)  # two rigs of one machine do not meet
         self.net = f"127.{10 + place // 250 % 200}.{place % 250}"
         self.record = Record()
-        self.hub, self.log = Hub(self.record, seed), ChangeLog()
+        self.hub = Hub(self.record, seed)
+        self.gates: dict[tuple[str, str], tuple[str, int]] = {}  # a router's way to a box
         for pump in self.pumps:
             if isinstance(pump, MediaBox):
                 pump.record = self.record
@@ -168,9 +170,11 @@
             return [pump.row() for pump in self.pumps]
         rows = []
         for pump in self.pumps:
-            host, port = pump.address.rsplit(":", 1)
-            gate = self.hub.gate(router.name, pump.name, router.told[0], (host, int(port)))
-            rows.append({**pump.row(), "hostPort": "%s:%d" % gate[:2]})
+            pair = router.name, pump.name
+            if pair not in self.gates:
+                host, port = pump.address.rsplit(":", 1)
+                self.gates[pair] = self.hub.gate(*pair, router.told[0], (host, int(port)))
+            rows.append({**pump.row(), "hostPort": "%s:%d" % self.gates[pair][:2]})
         return rows
 
     def site_file(self, router: Router) -> str:
@@ -181,6 +185,12 @@
                  *(f"{key} = {json.dumps(value)}" for key, value in own.items()), self.tables]
         return "\n".join(lines) + "\n"
 
+    def tell(self, states: dict[str, str]) -> None:
+        """A change of boxes, by name, to all routers: to each with its own gates."""
+        for router in self.routers:
+            router.log.tell([{**row, "lifecycle": states[row["instanceId"]]} for row in self.rows(router)
+                             if row["instanceId"] in states])
+
     # Groups
 
     def names(self, routers: Sequence[Router]) -> list[str]:
@@ -244,7 +254,7 @@
                 router.process.wait()
             for reader in router.readers:  # they tell the hub of the end, so it has to be there still
                 reader.join(WAIT_S)
-        for listener in (*self.pumps, self.log):
+        for listener in (*self.pumps, *(x.log for x in self.routers)):
             listener.stop()
         self.hub.stop()
 
--- a/tests/test_lab_custody.py
+++ b/tests/test_lab_custody.py
@@ -255,6 +255,7 @@
         wire, answer = set_up(made, made[2], f"{1:016x}", "t0")
         assert answer is not None and answer.status == 200, (answer and answer.start, made.record.tail())
         assert answer.body.startswith(b"made by ")
+        assert owners(made) == 3
         for box in boxes_of(made):
             for session in list(box.sessions):
                 box.end(session)
@@ -343,7 +344,7 @@
         assert play(made, made[1], 1, "free")[0] == 200
         drained = [x for x in boxes_of(made) if x.sessions]
         made[1].kill()
-        made.log.tell([box.row("leaving") for box in drained])
+        made.tell({box.name: "leaving" for box in drained})
         at = made.record.now()
         assert final(made, made[3], 0)[0] == 410  # a paid one ends with its box
         assert final(made, made[3], 1, "free")[0] == 200  # a repeatable one is set up elsewhere
@@ -379,3 +380,35 @@
         assert ask(1, 4, ticket).status == 200 and kept(1) == 1  # that router has room: it is let in on it
         assert ask(2, 5, ticket).status == 200 and kept(2) == 0  # let in as anybody: there is room
         assert ask(0, 6, ticket).status == 503 and kept(0) == 0
+
+
+def test_killed_before_its_intent_is_kept_a_paid_set_up_is_a_new_one_elsewhere(tmp_path: Path) -> None:
+    with keeping(tmp_path) as made:
+        made.hub.cut(["r1"], [x.name for x in made.routers if x is not made[1]])
+        first = later(made, lambda: play(made, made[1], 0))
+        until(made, "it was asked for", lambda: bool(made.record.of("fault")))
+        made[1].kill()
+        first.join(SOON_S)
+        made.hub.heal()
+        assert final(made, made[2], 0)[0] == 200
+        assert set_ups(made.record) == {"t0": 1}
+
+
+def test_killed_with_its_set_up_on_the_way_to_the_box(tmp_path: Path) -> None:
+    """Between the intent and the box: what left is lost, and nobody else sends it."""
+    with keeping(tmp_path) as made:
+        made.hub.cut(["r1"], [x.name for x in boxes_of(made)])
+        session = f"{7:016x}"
+        first = later(made, lambda: set_up(made, made[1], session, "t0"))
+        until_told(made, "its intent is kept", lambda: any(console.ask(
+            x.ports["admin"], f"custody {session}").get("found") for x in made.routers if x is not made[1]))
+        made[1].kill()
+        first.join(SOON_S)
+        deadline = time.monotonic() + SOON_S
+        while True:  # until its owner's lease is over
+            wire, answer = set_up(made, made[2], session, "t0")
+            wire.close()
+            assert answer is not None and time.monotonic() < deadline
+            if answer.status != 503:
+                break
+        assert answer.status in (500, 502, 504) and not set_ups(made.record)
