--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -83,6 +83,7 @@
         self._sure: tuple[Request | None, bool] = (None, False)  # of the last one that ended
         self._adopting = False
         self._flushing: Key | None = None
+        self._fresh: dict[str, Request] = {}  # repeatable ones that no keeper knows yet
         self._changed = True
         self._room_ms = -1e12
         self._room: dict[str, float] = {}
@@ -199,11 +200,19 @@
                     self._released(id)
                 case model.Say(text):
                     self.log.info("{name}: custody: {text}", name=self.members.name, text=text)
-        if self.core.waiting and self._flushing is None:
+        if self.core.waiting:
+            self._flush_soon()
+
+    def _flush_soon(self) -> None:
+        if self._flushing is None:
             self._flushing = self.deadlines.after(FLUSH_MS, self._flush)
 
     def _flush(self) -> None:
         self._flushing = None
+        fresh, self._fresh = self._fresh, {}
+        for request in fresh.values():
+            if request.state is not State.OVER:
+                self._copy(request)
         self._act(self.core.flush(self.clock.now()))
 
     def ask(self, call: Callable[[Verdict, Work | None], None]) -> int:
@@ -262,8 +271,8 @@
             self._update(id, Phase.INTENT, kept)  # it is this router's; its box is told after the fact
             self.router.send(attempt)
         elif not self._paid(request):
-            self.claim(id, False, kept, SOON_MS, self.clock.now() + SOON_MS,
-                       lambda verdict, work: self._copied(request, verdict, work), soon=True)
+            self._fresh[id] = request  # copied with the next ones: by then it may be over
+            self._flush_soon()
             self.router.send(attempt)
         else:
             self.claim(id, True, kept, SOON_MS, attempt.until_ms,
@@ -320,7 +329,7 @@
         id, kept = self._id(request), self._kept(request, request.server, answer)
         if id not in self.core.held:
             request.viewer.served(answer)
-            if id not in self.core.tries:
+            if id not in self.core.tries and id not in self._fresh:
                 self._copy(request)
             return
         if not self._paid(request) or len(self._telling) >= PENDING_MOST:
@@ -332,8 +341,10 @@
         self._update(id, Phase.STANDS, kept)
 
     def _copy(self, request: Request) -> None:
-        self.claim(self._id(request), self._paid(request), self._kept(request, request.server), SOON_MS,
-                    self.clock.now() + SOON_MS, lambda verdict, work: self._copied(request, verdict, work))
+        server = request.server if request.attempt is None else request.attempt.server
+        self.claim(self._id(request), self._paid(request), self._kept(request, server), SOON_MS,
+                   self.clock.now() + SOON_MS, lambda verdict, work: self._copied(request, verdict, work),
+                   soon=True)
 
     def _tell(self, id: str, only: Request | None = None) -> None:
         told = self._telling.get(id)
@@ -359,6 +370,7 @@
         id = self._id(request)
         self._tell(id, request)
         self._answers.pop(id, None)
+        self._fresh.pop(id, None)
         held = self.core.held.get(id)
         self._sure = request, held is None or self.core.may_act(id, self.clock.now())
         if held is None or held.to:
