--- a/cloverhinge/emulator/keeping.py
+++ b/cloverhinge/emulator/keeping.py
@@ -265,8 +265,9 @@
             play = draw.randrange(max(0, plays - 40), plays) if again else plays
             plays = max(plays, play + 1)
             world.keepers[draw.choice(here)].fetch(f"p{play}")
-        elif dice < 0.63 and here and len(dead) < most and (world.rostered or lost < most):
-            lost = 1 if world.rostered else lost + 1
+        elif dice < 0.63 and here and len(dead) < most and (
+                lost < most or len(here) == count and world.rostered):
+            lost = 1 if len(here) == count and world.rostered else lost + 1
             at = draw.choice(here)
             world.routers[at].kill()
             dead[at] = net.now + draw.uniform(200.0, 15_000.0)
