Custody read again: branches that stood twice are one, and what was written again calls what there was

Cause: the whole change was read once more. `_step`, `_begin` and `_enter` in custody/core.py each held a block twice, of which the second could never act; the loops that bound a table repeated members' `trim`; two splits into messages, two joins of a running try, two ways of refusing a voice in a roster, and two copies of a kept session's request had the same logic. Change: the second copies are out; `trim`, `wire.batches`, `Try.join`, `Rosters._votes_after`, `Kept.ask`, `name_of` and `Keeper.forget` serve all places; `Part.end` is `Part.change`; counters that nobody read are out.

--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -39,6 +39,7 @@
 from cloverhinge.custody.register import NONE, Ballot, Phase, Slot, Work
 from cloverhinge.custody.rosters import Rosters
 from cloverhinge.custody.wire import Member, Roster, Why
+from cloverhinge.members.core import trim
 
 TICK_MS = 25.0  # pace of looking: what was lost on its way is sent again after two of them
 GRANT_SHARE = 0.9  # of a lease that its owner counts on: clocks may differ by a tenth before it errs
@@ -177,9 +178,7 @@
                 self._out.append(Answer(number, verdict, held.work))
                 return self._done(now)
         if attempt is not None:
-            attempt.numbers.append(number)
-            attempt.until_ms = max(attempt.until_ms, until_ms)
-            attempt.soon_ms = max(attempt.soon_ms, soon_ms)
+            attempt.join(number, soon_ms, until_ms)
             if attempt.reason in ("orphan", "mine", "find"):
                 attempt.reason, attempt.intent = "claim", intent(self.who, paid, body)
         elif len(self.tries) >= TRIES_MOST or len(self.held) >= HELD_MOST:
@@ -196,9 +195,7 @@
         """A viewer came for a session that stands, if it does; nothing is claimed where it does not."""
         attempt = self.tries.get(id)
         if attempt is not None:
-            attempt.numbers.append(number)
-            attempt.until_ms = max(attempt.until_ms, until_ms)
-            attempt.soon_ms = max(attempt.soon_ms, soon_ms)
+            attempt.join(number, soon_ms, until_ms)
         elif len(self.tries) >= TRIES_MOST:
             self._out.append(Answer(number, Verdict.UNKEPT, None))
         else:
@@ -285,16 +282,8 @@
             peer = self.peers.get(who)
             if peer is None:
                 continue
-            batch: list[msgspec.Raw] = []
-            room = wire.BATCH_BYTES
-            for item in items:
-                size = len(bytes(item))
-                if batch and size > room:
-                    self._out.append(Send(peer.member, wire.encode(lineage, number, batch)))
-                    batch, room = [], wire.BATCH_BYTES
-                batch.append(item)
-                room -= size
-            self._out.append(Send(peer.member, wire.encode(lineage, number, batch)))
+            for batch in wire.batches(items, lambda x: len(bytes(x)), wire.BATCH_BYTES):
+                self._out.append(Send(peer.member, wire.encode(lineage, number, batch)))
 
     @property
     def _roster(self) -> tuple[int, int]:
@@ -372,8 +361,7 @@
         self._seq += 1
         peer.asked_ms = now
         peer.asked[self._seq] = now
-        while len(peer.asked) > SENT_KEPT:
-            peer.asked.popitem(last=False)
+        trim(peer.asked, SENT_KEPT)
         self._to(peer.member.who, wire.Hi(
             self._seq, peer.generation, self.rosters.active, self.lived_before, self.leaving))
 
@@ -527,9 +515,6 @@
         for held in list(self.held.values()):
             if any(place.lost(held.id, held.ballot[0], x, self.rules.keepers + 1) for x in roster.holes):
                 self._keep(now, held)  # more may have been written of it: under a new term, or not at all
-        for held in list(self.held.values()):
-            if any(place.lost(held.id, held.ballot[0], x, self.rules.keepers + 1) for x in roster.holes):
-                self._keep(now, held)  # more may have been written of it: under a new term, or not at all
         for member in roster.members:  # whoever decided it tells it to all
             if member.who != self.who:
                 self._to(member.who, wire.Known(roster))
@@ -549,15 +534,7 @@
             if who == self.who:
                 self.rosters.told(now, who)
                 continue
-            parts: list[list[wire.Told]] = [[]]
-            room = wire.TELL_BYTES
-            for told in self.keeper.told(ids):
-                size = wire.size(told)
-                if size > room:
-                    parts.append([])
-                    room = wire.TELL_BYTES
-                parts[-1].append(told)
-                room -= size
+            parts = list(wire.batches(self.keeper.told(ids), wire.size, wire.TELL_BYTES)) or [[]]
             for at, slots in enumerate(parts):
                 tell = wire.Tell(roster.number, at, len(parts), slots, leases)
                 self._tells[who, at] = tell, now
@@ -663,8 +640,7 @@
             self.counters.handed_over += 1
             self._forget(held.id)
             self._gifts[held.id] = held.to, given, now, now + GIFT_MS
-            while len(self._gifts) > GIFTS_MOST:
-                self._gifts.popitem(last=False)
+            trim(self._gifts, GIFTS_MOST)
             self._to(held.to, given)
         elif not register.owned(held.work):
             self._forget(held.id)
@@ -737,8 +713,7 @@
             del self.tries[attempt.id]
             if attempt.wrote:
                 self._idle[attempt.id] = None
-                while len(self._idle) > IDLE_MOST:
-                    self._idle.popitem(last=False)
+                trim(self._idle, IDLE_MOST)
             verdict = Verdict.HELD if attempt.owner else Verdict.UNKEPT
             self.counters.unkept += bool(attempt.numbers)
             for number in attempt.numbers:
@@ -758,10 +733,6 @@
             self._won(now, attempt)  # a lease has come since
         elif attempt.stage is Stage.CLAIM and now - attempt.sent_ms >= RESEND_MS:
             self._begin(now, attempt)  # one of them does not answer: most are enough, with a question first
-        elif attempt.written and self._wins(now, attempt):
-            self._won(now, attempt)  # a lease has come since
-        elif attempt.stage is Stage.CLAIM and now - attempt.sent_ms >= RESEND_MS:
-            self._begin(now, attempt)  # one of them does not answer: most are enough, with a question first
         elif now - attempt.sent_ms >= attempt.pause_ms and attempt.refusals:
             self._give_way(now, attempt)  # the others may be away: what was refused is asked again
         elif now - attempt.sent_ms >= attempt.pause_ms:
@@ -785,8 +756,6 @@
             attempt.ballot = above(max(attempt.seen, self._last), self.rosters.number, self.who)
             attempt.seen = self._last = attempt.ballot  # no term of this run's is ever used twice
         attempt.promises, attempt.refusals, attempt.written = {}, {}, {}
-        # All keepers have to take a claim: where one is away it is asked for at once.
-        attempt.claims = attempt.claims and all(self._takes_part(x, now) for x in attempt.keepers)
         attempt.stage = Stage.CLAIM if attempt.claims else Stage.ASK
         attempt.work = attempt.intent if attempt.claims else None
         attempt.wrote = attempt.wrote or attempt.claims
--- a/cloverhinge/custody/keeper.py
+++ b/cloverhinge/custody/keeper.py
@@ -25,7 +25,6 @@
         self.leases: dict[str, float] = {}  # whose, until when
         self.generations: dict[str, int] = {}
         self.first = 0  # the roster's first generation
-        self.fences = 0  # leases of owners that another's coming has ended
         self._lapsing: SortedDict[tuple[float, str], None] = SortedDict()
         self._lapses: dict[str, float] = {}
 
@@ -33,7 +32,7 @@
         return max(0.0, self.leases.get(owner, 0.0) - now)
 
     def renew(self, now: float, owner: str, generation: int) -> bool:
-        if generation != self.generations.get(owner, self.first):
+        if generation != self.generation(owner):
             return False
         self.leases[owner] = now + self.lease_ms
         return True
@@ -80,15 +79,10 @@
 
     def _fence(self, owner: str) -> None:
         """What this owner counts as written here is not any more, until it has been written again."""
-        self.fences += 1
         self.generations[owner] = self.generation(owner) + 1
 
     def _put(self, now: float, id: str, slot: Slot) -> None:
-        was = self.slots.get(id)
-        if was is not None and was.work is not None:
-            self._leave(was.work.owner, id)
-        if (lapses := self._lapses.pop(id, None)) is not None:
-            del self._lapsing[lapses, id]
+        self.forget(id)
         self.slots[id] = slot
         if slot.work is not None:
             self.of_owner.setdefault(slot.work.owner, set()).add(id)
--- a/cloverhinge/custody/kept.py
+++ b/cloverhinge/custody/kept.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cloverhinge.core.model import Ask
 from cloverhinge.custody.register import Work
 
 
@@ -22,6 +23,12 @@
     answer: bytes = b""
 
 
+    def ask(self, record: str = "") -> Ask:
+        """What its viewer asked for, as a front that goes on with it tells the core."""
+        return Ask(self.name, self.class_name, self.title, self.first_cell, self.copies, self.ceiling, 0.0,
+                   length_ms=self.length_ms, viewer=self.key, peer=self.peer, record=record)
+
+
 encode = msgspec.msgpack.Encoder().encode
 _decoder: msgspec.msgpack.Decoder[Kept] = msgspec.msgpack.Decoder(Kept)
 
--- a/cloverhinge/custody/model.py
+++ b/cloverhinge/custody/model.py
@@ -168,3 +168,8 @@
     pause_ms: float = RESEND_MS
     wrote: bool = False  # its intent, as that of a new record
     soon: bool = False  # nobody waits for it
+
+    def join(self, number: int, soon_ms: float, until_ms: float) -> None:
+        """One more waits for what comes of it."""
+        self.numbers.append(number)
+        self.soon_ms, self.until_ms = max(self.soon_ms, soon_ms), max(self.until_ms, until_ms)
--- a/cloverhinge/custody/part.py
+++ b/cloverhinge/custody/part.py
@@ -17,18 +17,19 @@
 from cloverhinge.core.deadlines import Deadlines, Key
 from cloverhinge.core.model import Ask, Attempt, Boxes, Cause, Request, State, Viewer
 from cloverhinge.core.router import Router
-from cloverhinge.custody import core, model, register
+from cloverhinge.custody import core, model
 from cloverhinge.custody.kept import Kept, encode, read
 from cloverhinge.custody.model import Verdict
 from cloverhinge.custody.register import Phase, Work
-from cloverhinge.custody.wire import Member
+from cloverhinge.custody.wire import Member, name_of
 from cloverhinge.decision.interface import Effect
-from cloverhinge.members.core import Carried, Changed, Voided
+from cloverhinge.members.core import Carried, Changed, Voided, trim
 from cloverhinge.members.link import Event, Link
 from cloverhinge.members.wire import Bad
 from cloverhinge.members.wire import State as MemberState
 from cloverhinge.site.model import CustodySite
 
+BY_NAME = "r"  # the letter of the front whose work goes by the session's name
 SOON_MS = 500.0  # for keepers to answer a paid claim: ten times what was sent is sent again in that time
 FLUSH_MS = 5.0  # copies that nobody waits for leave together: so long a killed router may take one with it
 KEPT_MS = 250.0  # that a paid answer waits for the keepers to have it, at the most
@@ -86,7 +87,6 @@
         self._fresh: dict[str, Request] = {}  # repeatable ones that no keeper knows yet
         self._changed = True
         self._room_ms = -1e12
-        self._room: dict[str, float] = {}
 
     # The node's side
 
@@ -98,7 +98,7 @@
     def start(self) -> None:
         own = Member(self.members.name, self.members.members.run, self.members.site.site)
         rules = model.Rules(self.site.keepers, self.site.lease_ms, self.site.routers, self.lasts_ms,
-                           self.lasts_ms)
+                            self.lasts_ms)
         self.core = core.Custody(own, rules, self.seed)
         self.router.custody = self
         self.members.hearers[self.key] = self._heard
@@ -129,13 +129,13 @@
                 kept = read(work) or Kept("", "", "")
                 server = self.router.listings.get(kept.server)
                 box = "" if server is None else f"s-{server.server:08x}"
-                return {"found": True, "phase": work.phase.name.lower(), "owner": work.owner.split("#")[0],
-                        "epoch": work.epoch, "past": [x.split("#")[0] for x in work.past],
-                        "keepers": [x.split("#")[0] for x in self.core.keepers(id)],
+                return {"found": True, "phase": work.phase.name.lower(), "owner": name_of(work.owner),
+                        "epoch": work.epoch, "past": list(map(name_of, work.past)),
+                        "keepers": list(map(name_of, self.core.keepers(id))),
                         "class": kept.class_name, "title": kept.title, "session": kept.name,
                         "box": box, "mine": id in self.core.held}
         return {"found": False, "keepers": sorted({
-            x.split("#")[0] for id in ids for x in self.core.keepers(id)})}
+            name_of(x) for id in ids for x in self.core.keepers(id)})}
 
     # Membership's side
 
@@ -233,9 +233,7 @@
 
     def end(self, id: str) -> None:
         """The front has forgotten it."""
-        held = self.core.held.get(id)
-        if held is not None and held.work.phase in register.ACTING:
-            self._act(self.core.update(self.clock.now(), id, Phase.OVER, held.work.body))
+        self.change(id, Phase.OVER)
 
     def change(self, id: str, phase: Phase) -> None:
         """What the front keeps of it stays as it is."""
@@ -248,7 +246,7 @@
 
     @staticmethod
     def _id(request: Request) -> str:
-        return request.ask.record or f"r/{request.ask.name}"
+        return request.ask.record or f"{BY_NAME}/{request.ask.name}"
 
     @staticmethod
     def _paid(request: Request) -> bool:
@@ -276,7 +274,7 @@
             self.router.send(attempt)
         else:
             self.claim(id, True, kept, SOON_MS, attempt.until_ms,
-                        lambda verdict, work: self._intended(attempt, verdict, work))
+                       lambda verdict, work: self._intended(attempt, verdict, work))
 
     def _intended(self, attempt: Attempt, verdict: Verdict, work: Work | None) -> None:
         request = attempt.request
@@ -390,8 +388,7 @@
             request.boxes.release(request, cause)
             return
         self._releases[self._id(request)] = request, cause
-        while len(self._releases) > PENDING_MOST:
-            self._releases.popitem(last=False)
+        trim(self._releases, PENDING_MOST)
 
     def _released(self, id: str) -> None:
         told = self._releases.pop(id, None)
@@ -458,5 +455,4 @@
     @staticmethod
     def note(table: OrderedDict[str, None], name: str) -> None:
         table[name] = None
-        while len(table) > HANDED_MOST:
-            table.popitem(last=False)
+        trim(table, HANDED_MOST)
--- a/cloverhinge/custody/rosters.py
+++ b/cloverhinge/custody/rosters.py
@@ -52,7 +52,6 @@
         self.roster: Roster | None = None
         self.heard_from: set[str] = set()  # sources that have told all
         self.active_ms: float | None = None  # since when this one votes
-        self.changes = 0
         self.fresh, self.lived = False, False
         self.gone = False  # no member of the roster is left
         self.stuck = ""  # why no next roster can be had
@@ -179,11 +178,17 @@
 
     # Voting
 
+    def _votes_after(self, number: int) -> bool:
+        """Whether this router has a voice in what follows that roster."""
+        return number == self.number and (self.roster is not None or self.fresh)
+
+    def _news_for(self, number: int) -> wire.Items | None:
+        """For one who asks about an earlier roster."""
+        return None if self.roster is None or number >= self.number else wire.Known(self.roster)
+
     def asked(self, ask: wire.RosterAsk) -> wire.Items | None:
-        if ask.number != self.number:
-            return None if self.roster is None or ask.number > self.number else wire.Known(self.roster)
-        if self.roster is None and not self.fresh:
-            return None
+        if not self._votes_after(ask.number):
+            return self._news_for(ask.number)
         if ask.ballot <= self._promised:
             return wire.RosterRefused(ask.number, ask.ballot, self._promised)
         if ask.ballot[1] != self.own.who:
@@ -192,18 +197,15 @@
         return wire.RosterPromised(ask.number, ask.ballot, self._accepted, self._value)
 
     def write(self, told: wire.RosterWrite) -> wire.Items | None:
-        if told.number != self.number:
-            return None if self.roster is None or told.number > self.number else wire.Known(self.roster)
-        if self.roster is None and not self.fresh:
-            return None
+        if not self._votes_after(told.number):
+            return self._news_for(told.number)
         if told.ballot < self._promised:
             return wire.RosterRefused(told.number, told.ballot, self._promised)
         self._promised = self._accepted = told.ballot
         self._value = told.value
         return wire.RosterWritten(told.number, told.ballot)
 
-    def promised(self, now: float, who: str, told: wire.RosterPromised, runs: Runs,
-                 ) -> To:
+    def promised(self, now: float, who: str, told: wire.RosterPromised, runs: Runs) -> To:
         draft = self._draft
         if (draft is None or told.number != self.number or told.ballot != draft.ballot
                 or draft.writing is not None or who not in self._electors()):
@@ -215,8 +217,7 @@
         draft.writing = newest[1] or draft.value
         return self._send(now, draft)
 
-    def written(self, who: str, told: wire.RosterWritten, runs: Runs,
-                ) -> Roster | None:
+    def written(self, who: str, told: wire.RosterWritten, runs: Runs) -> Roster | None:
         """The next roster, once it is decided."""
         draft = self._draft
         if (draft is None or draft.writing is None or told.number != self.number
@@ -242,7 +243,6 @@
         self._promised = self._accepted = NONE
         self._value = self._draft = None
         self._since_ms, self.stuck = None, ""
-        self.changes += 1
         for hole in roster.holes:
             self._holes.setdefault(hole, now)
         self._look(now)
--- a/cloverhinge/custody/wire.py
+++ b/cloverhinge/custody/wire.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable, Iterator
 from enum import IntEnum
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -11,6 +12,8 @@
 from cloverhinge.custody.register import Ballot, Work
 from cloverhinge.members.wire import Bad, Name, Number
 
+T = TypeVar("T")
+
 MEMBERS_MOST = 128  # routers in a roster: one datagram of 1 KB holds a table of their names' digests, TCP all
 ID_MOST = 160  # characters of a record's id: a front's letter and the longest play id
 BATCH_BYTES = 900  # of items in one message, so that with the members' head it stays one datagram
@@ -31,6 +34,10 @@
         return f"{self.name}#{self.run:x}"
 
 
+def name_of(who: str) -> str:
+    return who.partition("#")[0]
+
+
 Members = Annotated[tuple[Member, ...], Meta(max_length=MEMBERS_MOST)]
 
 
@@ -265,6 +272,21 @@
     return len(_encoder.encode(item))
 
 
+def batches(items: Iterable[T], size: Callable[[T], int], most: int) -> Iterator[list[T]]:
+    """In order, each of `most` bytes at the most; one that is larger goes alone."""
+    batch: list[T] = []
+    room = most
+    for item in items:
+        taken = size(item)
+        if batch and taken > room:
+            yield batch
+            batch, room = [], most
+        batch.append(item)
+        room -= taken
+    if batch:
+        yield batch
+
+
 def decode(told: bytes) -> Body:
     """Raises Bad."""
     try:
--- a/cloverhinge/hls/custody.py
+++ b/cloverhinge/hls/custody.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
-from cloverhinge.core.model import Ask, Request, State
+from cloverhinge.core.model import Request, State
 from cloverhinge.custody.kept import Kept
 from cloverhinge.custody.model import Verdict
 from cloverhinge.custody.part import SOON_MS, Part
@@ -101,9 +101,7 @@
         if play.request is not None and play.request.state is not State.OVER:
             return True
         play.peer = play.peer or kept.peer
-        ask = Ask(kept.name, kept.class_name, kept.title, kept.first_cell, kept.copies, kept.ceiling, 0.0,
-                  length_ms=kept.length_ms, viewer=kept.key, peer=kept.peer, record=id)
-        play.request = self.part.carry(ask, kept, PlayViewer(self.plays, play), self.boxes)
+        play.request = self.part.carry(kept.ask(id), kept, PlayViewer(self.plays, play), self.boxes)
         self.plays.touch(play)
         return play.request is not None
 
--- a/cloverhinge/members/core.py
+++ b/cloverhinge/members/core.py
@@ -158,7 +158,7 @@
     differs_ms: float | None = None  # since when its view has been another one
 
 
-def trim(table: OrderedDict[int, Any], most: int) -> None:
+def trim(table: OrderedDict[Any, Any], most: int) -> None:
     """The oldest entries give way."""
     while len(table) > most:
         table.popitem(last=False)
--- a/cloverhinge/net/custody.py
+++ b/cloverhinge/net/custody.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from cloverhinge.core.model import Ask, Request
+from cloverhinge.core.model import Request
 from cloverhinge.core.router import Router
 from cloverhinge.custody.kept import Kept, read
+from cloverhinge.custody.part import BY_NAME as LETTER
 from cloverhinge.custody.part import Part
 from cloverhinge.net.front import Front, RtspViewer
 from cloverhinge.net.pumps import Pumps
 
-LETTER = "r"
-
 
 class KeptSessions:
     """The front's side of custody."""
@@ -38,10 +37,8 @@
     def adopt(self, id: str, kept: Kept) -> bool:
         if kept.name in self.router.by_name:
             return True  # it is here, or its viewer is, and is told of it
-        ask = Ask(kept.name, kept.class_name, kept.title, kept.first_cell, kept.copies, kept.ceiling, 0.0,
-                  length_ms=kept.length_ms, viewer=kept.key, peer=kept.peer)
         viewer = RtspViewer(self.front, 0, kept.peer, kept.name)
-        request = self.part.carry(ask, kept, viewer, self.pumps)
+        request = self.part.carry(kept.ask(), kept, viewer, self.pumps)
         if request is not None:
             viewer.stands(True)
         return request is not None
