Lab: what custody's tests and bench both need stands there once

Change: `viewers.keeping`, `until_rostered`, `final`, `ask_for`, `Rig.boxes` and `Rig.poll` serve both; `held_up` and `until_noted` the tests. All assertions are as they were.

--- a/benchmarks/custody.py
+++ b/benchmarks/custody.py
@@ -15,9 +15,9 @@
 import time
 import tracemalloc
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import contextmanager
+from contextlib import AbstractContextManager
 from pathlib import Path
 from typing import Any
 
@@ -27,67 +27,35 @@
 from cloverhinge.custody import core, model
 from cloverhinge.custody.register import Phase
 from cloverhinge.custody.wire import Member
-from cloverhinge.lab.media import MediaBox, set_ups
+from cloverhinge.lab import viewers
+from cloverhinge.lab.media import set_ups
 from cloverhinge.lab.rig import Rig, Router, rig
 from cloverhinge.lab.stand import Quick, answer
-from cloverhinge.lab.viewers import custody_tables, play, set_up
+from cloverhinge.lab.viewers import custody_of, play, set_up, until_rostered
 
 PLAYS = 10  # at a router when it is killed
 SOON_S = 30.0
 
 
-@contextmanager
-def keeping(folder: Path, on: bool, count: int = 5, titles: int = 2000, **more: Any) -> Iterator[Rig]:
-    boxes = [MediaBox(f"s-{n:08x}", n % 3) for n in range(4)]
-    tables = custody_tables([x.name for x in boxes], [x.origin for x in boxes], titles, count, idle_s=600.0)
-    if not on:
-        tables = tables[tables.index("[hls]"):]
-    with rig(folder, count, pumps=boxes, tables=tables, program=OPTIMIZED, **more) as made:
-        if on:
-            until_rostered(made)
-        yield made
+def keeping(folder: Path, on: bool, titles: int = 2000) -> AbstractContextManager[Rig]:
+    return viewers.keeping(folder, 5, titles, 600.0, on, program=OPTIMIZED)
 
 
-def custody(router: Router) -> dict[str, Any]:
-    told: dict[str, Any] = router.status()["custody"]
-    return told
-
-
-def until(made: Rig, what: str, holds: Any, pause_s: float = 0.02) -> None:
-    deadline = time.monotonic() + SOON_S
-    while not holds():
-        if time.monotonic() > deadline:
-            raise AssertionError(f"{what}: not within {SOON_S:.0f} s\n{made.record.tail()}")
-        made.record.pause(pause_s)
-
-
-def until_rostered(made: Rig) -> None:
-    names = sorted(x.name for x in made.routers if x.running)
-
-    def rostered() -> bool:
-        told = [custody(x)["roster"] for x in made.routers if x.running]
-        return all(x is not None and x["members"] == names and x["votes"] for x in told) and len(
-            {x["number"] for x in told}) == 1
-
-    until(made, "one roster", rostered)
+def until(made: Rig, what: str, holds: Callable[..., bool]) -> None:
+    made.poll(what, holds, SOON_S, 0.02)
 
 
 def final(made: Rig, router: Router, number: int) -> int:
-    deadline = time.monotonic() + SOON_S
-    while True:
-        code, text = play(made, router, number)
-        if code != 503 or time.monotonic() > deadline:
-            return 410 if "ENDLIST" in text else code
+    return viewers.final(made, router, number, seconds=SOON_S)[0]
 
 
 def ended(made: Rig) -> None:
     """The boxes end all, so that there is room for the next ones."""
-    boxes = [x for x in made.pumps if isinstance(x, MediaBox)]
-    for box in boxes:
+    for box in made.boxes:
         for session in list(box.sessions):
             box.end(session)
     until(made, "all ends are heard", lambda: sum(x.status()["standing"] for x in made.routers) == 0)
-    for box in boxes:
+    for box in made.boxes:
         box.ended.clear()
 
 
@@ -103,17 +71,17 @@
                 told = final(made, victim, one)
                 assert told == 200, (on, one, told, made.record.tail())
             others = [x for x in made.routers if x is not victim]
-            before = sum(custody(x)["taken_over"] for x in others) if on else 0
+            before = sum(custody_of(x)["taken_over"] for x in others) if on else 0
             at = made.record.now()
             victim.kill()
             if on:
                 try:
                     until(made, "all are owned again", lambda others=others, before=before: sum(
-                        custody(x)["taken_over"] for x in others) >= before + PLAYS)
+                        custody_of(x)["taken_over"] for x in others) >= before + PLAYS)
                 except AssertionError as error:
                     known = [(one, [console.ask(x.ports["admin"], f"custody play-{one:08d}") for x in others])
                              for one in plays]
-                    raise AssertionError(f"{known}\n{[custody(x) for x in others]}\n{error}") from None
+                    raise AssertionError(f"{known}\n{[custody_of(x) for x in others]}\n{error}") from None
                 owned.append(made.record.now() - at)
             for one in plays:
                 answers[final(made, draw.choice(others), one)] += 1
@@ -146,8 +114,7 @@
     answer(wire)
     for number in range(first + 1, first + count):
         session, begun = f"{number:016x}", time.monotonic()
-        wire.send("SETUP rtsp://media/t0 RTSP/1.0", session, X_Call_Class=kind, X_Ring_Limit="2500",
-                  X_Dest="home:0;copies:3;top:1")
+        viewers.ask_for(wire, session, "t0", kind)
         told = answer(wire)
         if told.status != 200:
             made.record.pause(0.2)  # a cold box takes a few at a time
@@ -381,11 +348,10 @@
 def whole(made: Rig) -> dict[str, object]:
     """Ten seconds after the last fault: what is left standing, and who has it."""
     made.record.pause(10.0)
-    boxes = [x for x in made.pumps if isinstance(x, MediaBox)]
     return {"set up twice": sum(x > 1 for x in set_ups(made.record).values()),
-            "stand at the boxes": sum(len(x.sessions) for x in boxes),
+            "stand at the boxes": sum(len(x.sessions) for x in made.boxes),
             "stand at the routers": sum(x.status()["standing"] for x in made.routers),
-            "unknown": sum(custody(x)["unknown"] for x in made.routers),
+            "unknown": sum(custody_of(x)["unknown"] for x in made.routers),
             "broken invariants": sum(sum(x.status()["broken"].values()) for x in made.routers)}
 
 
--- a/cloverhinge/lab/media.py
+++ b/cloverhinge/lab/media.py
@@ -22,7 +22,7 @@
 
 
 class MediaBox(Pump):
-    """`sessions` stand here now, by name, with their titles; set-ups wait while `gate` is closed.
+    """`sessions` stand here now, by name, with their titles.
 
     `before` closed holds a set-up before the box takes it, `after` holds its answer back.
     """
--- a/cloverhinge/lab/rig.py
+++ b/cloverhinge/lab/rig.py
@@ -11,7 +11,8 @@
 import subprocess
 import sys
 import threading
-from collections.abc import Iterator, Sequence
+import time
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
@@ -155,9 +156,8 @@
         self.record = Record()
         self.hub = Hub(self.record, seed)
         self.gates: dict[tuple[str, str], tuple[str, int]] = {}  # a router's way to a box
-        for pump in self.pumps:
-            if isinstance(pump, MediaBox):
-                pump.record = self.record
+        for box in self.boxes:
+            box.record = self.record
         self.busy: list[subprocess.Popen[bytes]] = []
         self.routers = [Router(self, n, f"s{n % sites}") for n in range(count)]
 
@@ -185,6 +185,18 @@
                  *(f"{key} = {json.dumps(value)}" for key, value in own.items()), self.tables]
         return "\n".join(lines) + "\n"
 
+    @property
+    def boxes(self) -> list[MediaBox]:
+        return [x for x in self.pumps if isinstance(x, MediaBox)]
+
+    def poll(self, what: str, holds: Callable[[], bool], seconds: float, pause_s: float = 0.05) -> None:
+        """For what only a router's status tells: asked again and again."""
+        deadline = time.monotonic() + seconds
+        while not holds():
+            if time.monotonic() > deadline:
+                raise AssertionError(f"{what}: not within {seconds:.0f} s\n{self.record.tail()}")
+            self.record.pause(pause_s)
+
     def tell(self, states: dict[str, str]) -> None:
         """A change of boxes, by name, to all routers: to each with its own gates."""
         for router in self.routers:
--- a/tests/test_lab_custody.py
+++ b/tests/test_lab_custody.py
@@ -2,63 +2,36 @@
 
 from __future__ import annotations
 
-import re
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 from cloverhinge import console
-from cloverhinge.lab.media import MediaBox, set_ups
-from cloverhinge.lab.rig import Rig, Router, rig
+from cloverhinge.lab import viewers
+from cloverhinge.lab.media import set_ups
+from cloverhinge.lab.rig import Rig, rig
 from cloverhinge.lab.stand import SETTINGS, WAIT_S, Message, Pump, Wire
-from cloverhinge.lab.viewers import custody_tables, play, set_up
+from cloverhinge.lab.viewers import SOON_S, final, play, set_up, until_rostered
 from tests import guards
 
-SOON_S = 20.0  # for what has to come, also on a busy machine
-
 
 def status(made: Rig, number: int) -> dict[str, Any]:
-    told: dict[str, Any] = made[number].status()["custody"]
-    return told
+    return viewers.custody_of(made[number])
 
 
 @contextmanager
-def keeping(folder: Path, count: int = 5, titles: int = 20, **more: Any) -> Iterator[Rig]:
-    boxes = [MediaBox(f"s-{n:08x}", n % 3) for n in range(4)]
-    tables = custody_tables([x.name for x in boxes], [x.origin for x in boxes], titles, count, idle_s=120.0)
-    with rig(folder, count, pumps=boxes, tables=tables, program=guards.program(), **more) as made:
-        until_rostered(made)
+def keeping(folder: Path, count: int = 5, titles: int = 20) -> Iterator[Rig]:
+    with viewers.keeping(folder, count, titles, idle_s=120.0, program=guards.program()) as made:
         yield made
         twice = {title: n for title, n in set_ups(made.record).items() if n > 1}
         assert not twice, (twice, made.record.tail())
 
 
-def until_rostered(made: Rig) -> None:
-    """All that run vote in one roster of just them, as their logs say."""
-    here = [x for x in made.routers if x.running]
-    names = ", ".join(sorted(x.name for x in here))
-
-    def rostered() -> bool:
-        numbers = set()
-        for router in here:
-            lines = [x.told["line"] for x in made.record.of("log", router.name, router.begun_ms)
-                     if " custody: " in x.told["line"]]
-            roster = [x for x in lines if " custody: roster " in x]
-            found = re.search(r"custody: roster (\d+): ([^;]*)", roster[-1]) if roster else None
-            if found is None or found[2] != names or not any(
-                    x.endswith(f"votes in roster {found[1]}") for x in lines):
-                return False
-            numbers.add(found[1])
-        return len(numbers) == 1
-
-    made.record.until(rostered, SOON_S, f"one roster of {names}")
-
-
 def test_a_paid_play_goes_on_at_another_router_when_its_own_is_killed(tmp_path: Path) -> None:
     with keeping(tmp_path) as made:
         first = play(made, made[1], 0)
@@ -71,64 +44,50 @@
         assert status(made, 3)["owned"] >= 2
 
 
-def later(made: Rig, call: Any) -> threading.Thread:
+def later(call: Callable[[], Any]) -> threading.Thread:
     thread = threading.Thread(target=call, daemon=True)
     thread.start()
     return thread
 
 
-def asked(made: Rig, title: str) -> bool:
-    return any(x.told["title"] == title for x in made.record.of("asked"))
-
-
-def stands(made: Rig, title: str) -> bool:
-    return any(x.told["title"] == title for x in made.record.of("stands"))
+def until(made: Rig, what: str, holds: Callable[[], bool]) -> None:
+    made.record.until(holds, SOON_S, what)
 
 
-def until(made: Rig, what: str, holds: Any) -> None:
-    made.record.until(holds, SOON_S, what)
+def until_noted(made: Rig, what: str, title: str) -> None:
+    """By a box: a session of that title was asked for, stands or was released there."""
+    until(made, f"{title} {what}", lambda: any(x.told["title"] == title for x in made.record.of(what)))
 
 
-def final(made: Rig, router: Router, number: int, kind: str = "paid") -> tuple[int, str]:
-    """Comes back as long as it is told to."""
-    deadline = time.monotonic() + SOON_S
-    while True:
-        code, text = play(made, router, number, kind)
-        if code != 503 or time.monotonic() > deadline:
-            return (410 if "ENDLIST" in text else code), text
+@contextmanager
+def held_up(made: Rig, gate: str = "before", noted: str = "asked") -> Iterator[threading.Thread]:
+    """A paid fetch of `t0` at r1 whose set-up the boxes hold up, in the block, once that has been noted."""
+    for box in made.boxes:
+        getattr(box, gate).clear()
+    first = later(lambda: play(made, made[1], 0))
+    until_noted(made, noted, "t0")
+    yield first
+    for box in made.boxes:
+        getattr(box, gate).set()
 
 
 def test_killed_between_the_send_and_the_answer_a_paid_play_has_failed_for_good(tmp_path: Path) -> None:
     with keeping(tmp_path) as made:
-        boxes = [x for x in made.pumps if isinstance(x, MediaBox)]
-        for box in boxes:
-            box.before.clear()
-        first = later(made, lambda: play(made, made[1], 0))
-        until(made, "the set-up has left", lambda: asked(made, "t0"))
-        made[1].kill()
-        first.join(SOON_S)
-        for box in boxes:
-            box.before.set()
+        with held_up(made) as first:
+            made[1].kill()
+            first.join(SOON_S)
         assert final(made, made[2], 0)[0] == 502
         assert final(made, made[4], 0)[0] == 502
-        until(made, "what it left is released", lambda: any(
-            x.told["title"] == "t0" for x in made.record.of("released")))
+        until_noted(made, "released", "t0")
 
 
 def test_killed_once_the_box_has_it_before_the_viewer_is_told(tmp_path: Path) -> None:
     with keeping(tmp_path) as made:
-        boxes = [x for x in made.pumps if isinstance(x, MediaBox)]
-        for box in boxes:
-            box.after.clear()
-        first = later(made, lambda: play(made, made[1], 0))
-        until(made, "it stands at the box", lambda: stands(made, "t0"))
-        made[1].kill()
-        first.join(SOON_S)
-        for box in boxes:
-            box.after.set()
+        with held_up(made, "after", "stands") as first:
+            made[1].kill()
+            first.join(SOON_S)
         assert final(made, made[2], 0)[0] == 502
-        until(made, "what it left is released", lambda: any(
-            x.told["title"] == "t0" for x in made.record.of("released")))
+        until_noted(made, "released", "t0")
 
 
 def test_owner_and_one_keeper_killed_and_owner_and_all_keepers(tmp_path: Path) -> None:
@@ -179,22 +138,15 @@
 def test_a_set_up_about_to_leave_does_not_after_a_pause(tmp_path: Path) -> None:
     """Stopped once its intent is kept: its connections are held, so that nothing can have left."""
     with keeping(tmp_path) as made:
-        boxes = [x for x in made.pumps if isinstance(x, MediaBox)]
-        for box in boxes:
-            box.before.clear()
-        first = later(made, lambda: play(made, made[1], 0))
-        until(made, "the set-up has left", lambda: asked(made, "t0"))
-        made[1].pause()
-        for box in boxes:
-            box.before.set()
+        with held_up(made) as first:
+            made[1].pause()
         code = final(made, made[2], 0)[0]
         assert code == 502
         made[1].wake()
         first.join(SOON_S)
         answers = [x.told["status"] for x in made.record.of("answer") if x.told["at"] == "r1"]
         assert answers and 200 not in answers
-        until(made, "what it left is released", lambda: any(
-            x.told["title"] == "t0" for x in made.record.of("released")))
+        until_noted(made, "released", "t0")
 
 
 def test_two_fetches_at_two_routers_at_once_are_one_set_up(tmp_path: Path) -> None:
@@ -229,16 +181,8 @@
     return sum(status(made, x.number)["owned"] for x in made.routers if x.running)
 
 
-def until_told(made: Rig, what: str, holds: Any) -> None:
-    """For what only a router's status tells: asked again and again."""
-    deadline = time.monotonic() + SOON_S
-    while not holds():
-        assert time.monotonic() < deadline, (what, made.record.tail())
-        made.record.pause(0.05)
-
-
-def boxes_of(made: Rig) -> list[MediaBox]:
-    return [x for x in made.pumps if isinstance(x, MediaBox)]
+def until_told(made: Rig, what: str, holds: Callable[[], bool]) -> None:
+    made.poll(what, holds, SOON_S)
 
 
 def test_sessions_over_rtsp_go_on_without_their_viewers_and_end_where_they_went(tmp_path: Path) -> None:
@@ -256,7 +200,7 @@
         assert answer is not None and answer.status == 200, (answer and answer.start, made.record.tail())
         assert answer.body.startswith(b"made by ")
         assert owners(made) == 3
-        for box in boxes_of(made):
+        for box in made.boxes:
             for session in list(box.sessions):
                 box.end(session)
         until_told(made, "their ends are heard", lambda: owners(made) == 0)
@@ -314,26 +258,20 @@
         assert served
         made.hub.heal()
         until_rostered(made)
-        standing = sum(len(x.sessions) for x in boxes_of(made))
+        standing = sum(len(x.sessions) for x in made.boxes)
         until_told(made, "one owner each", lambda: owners(made) <= standing)
         assert final(made, made[0], served[0])[0] == 200
 
 
 def test_a_keeper_that_restarts_empty_before_the_owner_is_lost(tmp_path: Path) -> None:
     with keeping(tmp_path) as made:
-        boxes = boxes_of(made)
-        for box in boxes:
-            box.before.clear()
-        first = later(made, lambda: play(made, made[1], 0))
-        until(made, "the set-up has left", lambda: asked(made, "t0"))
-        keeper = next(int(x[1:]) for x in custody_of(made, 1, 0)["keepers"] if x != "r1")
-        made[keeper].kill()
-        made[keeper].start()
-        made[keeper].until_started()
-        made[1].kill()
-        first.join(SOON_S)
-        for box in boxes:
-            box.before.set()
+        with held_up(made) as first:
+            keeper = next(int(x[1:]) for x in custody_of(made, 1, 0)["keepers"] if x != "r1")
+            made[keeper].kill()
+            made[keeper].start()
+            made[keeper].until_started()
+            made[1].kill()
+            first.join(SOON_S)
         there = next(x for x in made.routers if x.running)
         assert final(made, there, 0)[0] == 502
 
@@ -342,7 +280,7 @@
     with keeping(tmp_path) as made:
         assert play(made, made[1], 0)[0] == 200
         assert play(made, made[1], 1, "free")[0] == 200
-        drained = [x for x in boxes_of(made) if x.sessions]
+        drained = [x for x in made.boxes if x.sessions]
         made[1].kill()
         made.tell({box.name: "leaving" for box in drained})
         at = made.record.now()
@@ -385,7 +323,7 @@
 def test_killed_before_its_intent_is_kept_a_paid_set_up_is_a_new_one_elsewhere(tmp_path: Path) -> None:
     with keeping(tmp_path) as made:
         made.hub.cut(["r1"], [x.name for x in made.routers if x is not made[1]])
-        first = later(made, lambda: play(made, made[1], 0))
+        first = later(lambda: play(made, made[1], 0))
         until(made, "it was asked for", lambda: bool(made.record.of("fault")))
         made[1].kill()
         first.join(SOON_S)
@@ -397,9 +335,9 @@
 def test_killed_with_its_set_up_on_the_way_to_the_box(tmp_path: Path) -> None:
     """Between the intent and the box: what left is lost, and nobody else sends it."""
     with keeping(tmp_path) as made:
-        made.hub.cut(["r1"], [x.name for x in boxes_of(made)])
+        made.hub.cut(["r1"], [x.name for x in made.boxes])
         session = f"{7:016x}"
-        first = later(made, lambda: set_up(made, made[1], session, "t0"))
+        first = later(lambda: set_up(made, made[1], session, "t0"))
         until_told(made, "its intent is kept", lambda: any(console.ask(
             x.ports["admin"], f"custody {session}").get("found") for x in made.routers if x is not made[1]))
         made[1].kill()
