Operators' door: calls, true figures and boxes left out by hand, at mgmt or LB_MGMT

Now operation/ answers one line a connection; ends of requests are counted by class where the final answer leaves the core, a ban is laid over the list in core/router, and bans stand in a file in TMPDIR.

--- a/cloverhinge/admin.py
+++ b/cloverhinge/admin.py
@@ -7,7 +7,6 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import asdict
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
@@ -36,7 +35,7 @@
     shown = sorted(standing, key=lambda x: x.taken_ms)[:SESSIONS_MOST]
     return {
         "name": name, "up_s": round((now - started_ms) / 1000.0, 1), "open": router.open,
-        "standing": len(standing), "plays": plays, "counters": asdict(router.counters),
+        "standing": len(standing), "plays": plays, "counters": router.counters.told(),
         "broken": dict(invariants.broken), "certificate": certificate,
         "clients": clients,
         "boxes": [{
--- a/cloverhinge/config.py
+++ b/cloverhinge/config.py
@@ -27,9 +27,11 @@
     settings: api.Settings
     connect_ms: float
     idle_ms: float
+    mgmt: tuple[str, int] | None = None  # where the staff call
+    listener: int | None = None  # descriptor of the clients' listening socket, where it is inherited
 
 
-def read(path: str, listen: str | None = None) -> Config:
+def read(path: str, environment: Mapping[str, str] | None = None) -> Config:
     try:
         with open(path, encoding="utf-8") as file:
             told = json.load(file)
@@ -38,28 +40,31 @@
     except ValueError as error:
         raise ConfigError(f"{path} is not JSON: {error}") from None
     try:
-        return parse(told, listen)
+        return parse(told, environment or {})
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-def parse(told: dict[str, Any], listen: str | None = None) -> Config:
+def parse(told: dict[str, Any], environment: Mapping[str, str]) -> Config:
     limits, settings, known = told.get("limits") or {}, told["settings"], told.get("known") or {}
     changes = [parse_event(event) for event in known.get("results") or []]
     rules = settings.get("limits") or {}
+    listen = environment.get("LB_LISTEN") or told["listen"]
+    mgmt, inherited = environment.get("LB_MGMT") or told.get("mgmt"), environment.get("LB_LISTEN_FD")
     return Config(
-        name=str(told.get("name") or ""), listen=address(listen or told["listen"], lowest=0),
+        name=str(told.get("name") or ""), listen=address(listen, lowest=0),
         seed=int(str(told.get("seed") or "0"), 16), memory_mb=int(limits.get("memory_mb", 192)),
         sockets=int(limits.get("sockets", 1024)), changelog=address(told["changelog"]),
         seq=int(known.get("seq", 0)), known=tuple(change for change in changes if change is not None),
         settings=parse_settings(settings), connect_ms=float(rules.get("connectTimeoutUs") or 250_000) / 1000,
-        idle_ms=float(rules.get("connIdleUs") or 30_000_000) / 1000)
+        idle_ms=float(rules.get("connIdleUs") or 30_000_000) / 1000,
+        mgmt=address(str(mgmt), lowest=0) if mgmt else None, listener=int(inherited) if inherited else None)
 
 
 def from_environment(environment: Mapping[str, str] = os.environ) -> Config:
     path = environment.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG names no configuration")
-    return read(path, environment.get("LB_LISTEN"))
+    return read(path, environment)
--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 from cloverhinge.core.deadlines import Key
 from cloverhinge.decision.interface import Outcome, ServiceClass
@@ -46,6 +46,19 @@
     CUT = 41
 
 
+@dataclass(slots=True)
+class Tally:
+    """Requests of one class by their end, and attempts of it handed to boxes, since the start of the program.
+
+    A request whose viewer has left before its end stands under none.
+    """
+
+    ok: int = 0
+    shed: int = 0
+    errors: int = 0
+    tries: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     ask: Ask
@@ -54,6 +67,7 @@
     boxes: Boxes
     taken_ms: float
     expires_ms: float
+    tally: Tally  # its end is counted there
     handle: int = 0
     state: State = State.OPEN
     attempts: int = 0
@@ -81,11 +95,9 @@
 class Counters:
     """Since the start of the program."""
 
+    tallies: dict[str, Tally] = field(default_factory=dict)  # by class
     taken: int = 0
     carried: int = 0
-    served: int = 0
-    refused: int = 0
-    failed: int = 0
     left: int = 0
     attempts: int = 0
     probes: int = 0
@@ -94,6 +106,22 @@
     moved: int = 0
     outcomes: dict[str, int] = field(default_factory=dict)
 
+    @property
+    def served(self) -> int:
+        return sum(one.ok for one in self.tallies.values())
+
+    @property
+    def refused(self) -> int:
+        return sum(one.shed for one in self.tallies.values())
+
+    @property
+    def failed(self) -> int:
+        return sum(one.errors for one in self.tallies.values())
+
+    def told(self) -> dict[str, Any]:
+        """All of it by name, for those who look."""
+        return asdict(self) | {"served": self.served, "refused": self.refused, "failed": self.failed}
+
     def outcome(self, outcome: Outcome) -> None:
         self.outcomes[outcome.value] = self.outcomes.get(outcome.value, 0) + 1
 
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
 
 from twisted.logger import Logger
 
@@ -25,6 +26,7 @@
     Prober,
     Request,
     State,
+    Tally,
     Viewer,
 )
 from cloverhinge.core.slots import Table
@@ -51,8 +53,9 @@
         self.by_name: dict[str, Request] = {}
         self.by_title: dict[str, set[Request]] = {}
         self.standing: dict[int, dict[int, Request]] = {}  # by server, then by handle
-        self.listings: dict[int, api.ServerListing] = {}
-        self.counters = Counters()
+        self.listings: dict[int, api.ServerListing] = {}  # those left out by hand as draining
+        self.left_out: dict[int, api.ServerListing | None] = {}  # by hand; as the list has them, if it does
+        self.counters = Counters({one: Tally() for one in self.classes})
         self.prober: Prober | None = None
         self.door: Door | None = None
         self.custody: Custody | None = None
@@ -106,6 +109,7 @@
     def take(self, ask: Ask, viewer: Viewer, boxes: Boxes) -> Request | None:
         """A new request; None where the table has no slot for it or its id is held already."""
         if self.requests.full or ask.name in self.by_name:
+            self.counters.tallies[ask.class_name].shed += ask.name not in self.by_name
             return None
         now = self.clock.now()
         request = self._hold(ask, viewer, boxes, now)
@@ -126,7 +130,7 @@
     def turn_away(self, request: Request, hold_off_ms: float, ticket: str) -> None:
         """The door's answer to one that it did not let in, so nothing of it has run."""
         if holds(request.state is State.OPEN and not request.attempts, "turned away before any attempt"):
-            self.counters.refused += 1
+            request.tally.shed += 1
             self._conclude(request)
             request.viewer.refused(hold_off_ms if self.settings.retry_after else 0.0, ticket)
 
@@ -152,7 +156,8 @@
 
     def _hold(self, ask: Ask, viewer: Viewer, boxes: Boxes, now: float) -> Request:
         request = Request(ask, self.classes[ask.class_name], viewer, boxes, now,
-                          now + max(0.0, ask.wait_ms - ANSWER_MARGIN_MS))
+                          now + max(0.0, ask.wait_ms - ANSWER_MARGIN_MS),
+                          self.counters.tallies[ask.class_name])
         request.handle = self.requests.put(request)
         self.by_name[ask.name] = request
         self.by_title.setdefault(ask.title, set()).add(request)
@@ -215,9 +220,9 @@
         if attempt is not None and not attempt.sending:
             self._withdraw(attempt)
         if failed:
-            self.counters.failed += 1
+            request.tally.errors += 1
         else:
-            self.counters.refused += 1
+            request.tally.shed += 1
         self._conclude(request)
         if failed:
             request.viewer.failed(Outcome.ERROR)
@@ -236,6 +241,7 @@
             if attempt is not None:
                 self._settle(attempt, Outcome.MOOT, concluded=True)
             if self.carry(ask, server, viewer, request.boxes) is not None:
+                request.tally.ok += 1
                 viewer.served(answer)
 
     def hand_on(self, request: Request) -> None:
@@ -246,7 +252,7 @@
             attempt, request.attempt = request.attempt, None
             if attempt is not None:
                 self.deadlines.cancel(attempt.deadline)
-            self.counters.failed += 1
+            request.tally.errors += 1
             self._conclude(request)
             request.viewer.failed(None)
             self.tell(api.ViewerLeft(request.handle))
@@ -282,6 +288,7 @@
             self.unkept(attempt.request)
             return False
         attempt.written = True
+        attempt.request.tally.tries += 1
         return True
 
     def _timed_out(self, attempt: Attempt) -> None:
@@ -329,7 +336,7 @@
         request.attempt, request.may_have_run = None, True
         self._conclude(request, keep=True)
         self._stand(request, attempt.server)
-        self.counters.served += 1
+        request.tally.ok += 1
         if self.custody is None:
             request.viewer.served(answer)
         else:
@@ -372,7 +379,7 @@
             harmless = harmless and request.kind.effect is Effect.REPEATABLE
         if not holds(harmless, "paid set-up refused only if it never ran"):
             return self._fail(session)
-        self.counters.refused += 1
+        request.tally.shed += 1
         ticket = ""
         if self.door is not None:
             quote_ms, ticket = self.door.refused(request, hold_off_ms)
@@ -389,7 +396,7 @@
             self._withdraw(request.attempt)
             self.deadlines.cancel(request.attempt.deadline)
             request.attempt = None
-        self.counters.failed += 1
+        request.tally.errors += 1
         self._conclude(request)
         request.viewer.failed(request.last_outcome)
 
@@ -471,8 +478,8 @@
     # Boxes
 
     def fleet(self, kind: api.ListKind, listings: Iterable[api.ServerListing]) -> None:
-        """A list of boxes, or a change of it."""
-        told = tuple(listings)
+        """A list of boxes, or a change of it; what is left out by hand drains, whatever the list says."""
+        told = tuple(self._laid_over(kind, tuple(listings)))
         lost: set[int] = set()
         if kind is not api.ListKind.DELTA:
             lost = self.listings.keys() - {one.server for one in told}
@@ -489,5 +496,31 @@
         if self.door is not None:
             self.door.fleet_changed()
 
+    def _laid_over(self, kind: api.ListKind, told: tuple[api.ServerListing, ...]
+                   ) -> Iterator[api.ServerListing]:
+        if kind is not api.ListKind.DELTA:
+            self.left_out = dict.fromkeys(self.left_out)
+        for one in told:
+            if one.server in self.left_out:
+                self.left_out[one.server] = None if one.health is Health.GONE else one
+                if one.health is Health.READY:
+                    one = replace(one, health=Health.DRAINING)
+            yield one
+
+    def leave_out(self, server: int) -> None:
+        """By hand: nothing new goes there from now on, as at a drain, until it is put back."""
+        if server not in self.left_out:
+            listing = self.listings.get(server)
+            self.left_out[server] = listing
+            if listing is not None:
+                self.fleet(api.ListKind.DELTA, (listing,))
+
+    def put_back(self, server: int) -> None:
+        """By hand: as the list has it, and as one that starts now with nothing known of it."""
+        listing = self.left_out.pop(server, None)
+        if listing is not None:
+            now_us = to_us(self.clock.now())
+            self.fleet(api.ListKind.DELTA, (replace(listing, started_us=now_us, anew=True),))
+
     def probed(self, server: int, outcome: Outcome, took_ms: float, report: api.LoadReport | None) -> None:
         self.tell(api.ProbeEnded(server, outcome, to_us(took_ms), report))
--- a/cloverhinge/decision/interface.py
+++ b/cloverhinge/decision/interface.py
@@ -180,6 +180,7 @@
     health: Health = Health.READY
     weight: float = 1.0
     started_us: int = 0  # its most recent start; 0 = long ago
+    anew: bool = False  # put back by hand: what was known of it is of an earlier life
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -81,6 +81,13 @@
     def limits(self) -> tuple[Limit, Limit, Limit]:
         return self.link, self.places, self.uplink
 
+    def forget(self, now_us: int) -> None:
+        """It begins a new life: nothing is held against it, and it carries what is booked here."""
+        self.failures, self.distrusted_until_us, self.trial, self.next_setup_us = 0, 0, False, 0
+        self.erred.clear()
+        for limit in (self.link, self.places):
+            limit.load, limit.described_us, limit.inferred = limit.booked / limit.capacity, now_us, False
+
 
 @dataclass(slots=True, eq=False)
 class Session:
@@ -172,6 +179,8 @@
             held = self.servers.get(listing.server) or self.add(now_us, listing)
             if listing.started_us > (held.cold_since_us or 0):
                 held.cold_since_us = listing.started_us
+            if listing.anew:
+                held.forget(now_us)
             held.listing = listing
         self.links[:] = [server.link for server in self.servers.values()]
         self.places[:] = [server.places for server in self.servers.values()]
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import gc
+import os
 import random
 import signal
+import socket
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any, Protocol
 
 from twisted.internet import reactor as _reactor
@@ -74,6 +77,14 @@
             self.gate = Gate(site.door, self.router, self.deadlines, config.seed)
             self.front.identify = self.gate.clients.identify
         self.parts: list[Part] = []
+        self.operation: Any = None  # of the staff, where the platform tells of them
+        if config.mgmt is not None or config.listener is not None:
+            from cloverhinge.operation.part import Operation  # loaded only where the staff call
+
+            folder = os.environ.get("TMPDIR")
+            self.operation = Operation(reactor, config.name, config.mgmt, Path(folder) if folder else None,
+                                       config.sockets, self.router, self.deadlines)
+            self.parts.append(self.operation)
         if site.members is not None:
             from cloverhinge.members.link import Link  # loaded only where there are other routers
 
@@ -101,7 +112,10 @@
         self.pumps.start()
         self.front.start()
         host, port = self.config.listen
-        self.port = reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        if self.config.listener is None:
+            self.port = reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+        else:
+            self.port = reactor.adoptStreamPort(self.config.listener, socket.AF_INET, self.front)
         self.log.info("{name}: listening on {host}:{port}, {boxes} boxes known", name=self.config.name,
                       host=host, port=self.port.getHost().port, boxes=len(self.boxes))
         if self.site.admin is not None:
@@ -115,6 +129,8 @@
             self._start_hls(self.site.hls, self.site.acme)
         for part in self.parts:
             part.start()
+        if self.operation is not None:
+            self.operation.serving()
         if self.site.members is not None:
             self._publish()
 
@@ -184,6 +200,8 @@
 
     def change(self, change: Change, kind: api.ListKind | None = None) -> None:
         """A list, or a change of one: the router first, as it says what may still be written to."""
+        if self.operation is not None:
+            self.operation.listed(box.name for box, _ in change.rows)
         kind = kind or (api.ListKind.FULL if change.full else api.ListKind.DELTA)
         if kind is not api.ListKind.DELTA:
             self.boxes.clear()  # in place: both sides look boxes up in it
--- /dev/null
+++ b/cloverhinge/operation/part.py
@@ -0,0 +1,103 @@
+"""Joins the staff's calls to the router: the listener, the file of bans, the source of the figures."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from twisted.logger import Logger
+
+from cloverhinge.core.clock import to_us
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.core.router import Router
+from cloverhinge.net.changelog import number_of
+from cloverhinge.operation import calls
+from cloverhinge.operation.bans import Bans
+from cloverhinge.operation.desk import CALLERS_MOST, Desk
+from cloverhinge.operation.figures import Figures
+from cloverhinge.operation.shelf import Shelf
+
+SHELF_MS = 100.0  # a call at the process beside this is obeyed so soon: less than half of the shortest grace
+CALLERS_SHARE = 1 / 16  # of the descriptors at the most
+
+
+class Operation:
+    log = Logger()
+    key = "operation"
+
+    def __init__(self, reactor: Any, name: str, mgmt: tuple[str, int] | None, folder: Path | None,
+                 sockets: int, router: Router, deadlines: Deadlines) -> None:
+        self.reactor, self.name, self.mgmt = reactor, name, mgmt
+        self.router, self.deadlines = router, deadlines
+        self.bans = Bans()
+        self.waits_for = "starting"
+        self.shelf: Shelf | None = None
+        if folder is not None:
+            self.shelf = Shelf(folder / f"cloverhinge-{re.sub(r'[^A-Za-z0-9_-]', '_', name)}-bans.json")
+            self._merge()  # before anything is sent
+        self.desk = Desk(lambda line: calls.answer(line, self), deadlines,
+                         max(1, min(CALLERS_MOST, int(sockets * CALLERS_SHARE))))
+
+    def start(self) -> None:
+        if self.mgmt is not None:
+            port = self.reactor.listenTCP(self.mgmt[1], self.desk, interface=self.mgmt[0])
+            self.log.info("{name}: operators at {host}:{port}", name=self.name, host=self.mgmt[0],
+                          port=port.getHost().port)
+        if self.shelf is not None:
+            self._look()
+
+    def serving(self) -> None:
+        self.waits_for = ""
+
+    def told_to_end(self) -> None:
+        self.waits_for = "told to end"
+
+    def listed(self, names: Iterable[str]) -> None:
+        self.bans.names(names)
+
+    def status(self) -> dict[str, Any]:
+        return {"left_out": sorted(self.bans.out), "waits_for": self.waits_for}
+
+    # What calls ask and tell
+
+    def figures(self) -> Figures:
+        router = self.router
+        servers, now_us = router.controller.fleet.servers, to_us(router.clock.now())
+        avoided = sum(1 for number in router.listings if number in router.left_out or (
+            number in servers and servers[number].distrusted_until_us > now_us))
+        return Figures(router.counters.tallies, len(router.requests), len(router.listings), avoided)
+
+    def known(self, name: str) -> bool:
+        return self.bans.known(name)
+
+    def leave_out(self, name: str, out: bool) -> bool:
+        self._merge()
+        now_ms, before = self.router.clock.now(), name in self.bans.out
+        if not self.bans.tell(name, out, now_ms):
+            return False
+        if before != out:
+            self._obey({name: out})
+        if self.shelf is not None:
+            self.shelf.write(self.bans.encode())
+        return True
+
+    # The file
+
+    def _obey(self, changed: dict[str, bool]) -> None:
+        for name, out in changed.items():
+            (self.router.leave_out if out else self.router.put_back)(number_of(name))
+            self.log.info("box {box}: {what}", box=name, what="left out by hand" if out else "put back")
+
+    def _merge(self) -> None:
+        records = None if self.shelf is None else self.shelf.read()
+        if records is None or self.shelf is None:
+            return
+        self._obey(self.bans.merge(records, self.router.clock.now()))
+        if self.bans.lacking(records):
+            self.shelf.write(self.bans.encode())
+
+    def _look(self) -> None:
+        self._merge()
+        self.deadlines.after(SHELF_MS, self._look)
