A new version under load: connections end at a moment of rest, the inherited socket never blocks

Cause: Port.doRead accepts in a loop and the inherited descriptor was blocking, so accept stood still (node.py, adoptStreamPort); then 9 requests were lost as the old process cut its connections at its end. Now the descriptor is made non-blocking, SIGTERM stops accepting at once and each connection is half-closed when nothing is open or unread on it.

--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory, connectionDone
@@ -24,6 +26,8 @@
 SILENT_MS = 2500.0  # a connection that has brought no whole message so long after it was taken is closed
 PARTIAL_MS = 2000.0  # so is one whose message is not whole so long after its first byte
 CLOSING_SHARE = 1 / 3  # of the table's size: connections on their way out, beside a full table
+YOUNG_MS = 200.0  # a connection's first set-up is on its way for so long
+CROSSING_MS = 100.0  # what crosses the announced end of a connection is here so soon
 HELD_MS = 8000.0  # a release waits so long for a connection of its viewers
 HELD_MOST = 2048
 BUSY_HOLD_OFF_MS = 1000.0  # told where every slot for requests is taken
@@ -65,6 +69,7 @@
         self.spoken = False  # a whole message has come
         self.since_ms = 0.0  # the connection's start
         self.heard_ms = 0.0  # its last whole message
+        self.ending_ms: float | None = None  # half-closed since
         self.partial_ms: float | None = None  # the first byte of the message that is not whole yet
 
     def connectionMade(self) -> None:
@@ -78,6 +83,20 @@
         elif self.partial_ms is None:
             self.partial_ms = self.front.clock.now()
 
+    def unread(self) -> bool:
+        """Something lies in the socket that has not been read."""
+        transport: Any = self.transport
+        try:
+            return bool(transport.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    def half_close(self) -> None:
+        """Nothing more is written; what comes is read until the viewer closes too."""
+        transport: Any = self.transport
+        transport.unregisterProducer()
+        transport.loseWriteConnection()
+
     def overdue(self, now: float) -> bool:
         """Guards against clients that say nothing, or say it byte by byte: no byte renews the time."""
         if not self.spoken:
@@ -91,8 +110,8 @@
             self.front.spoke(self)
         self.front.arrange(self)
         cseq, name = message.headers.get("cseq", "0"), message.session
-        if message.status:
-            return  # a viewer heard a release
+        if message.status or self.ending_ms is not None:
+            return  # a viewer heard a release, or sends anew what crosses the connection's end
         if message.method == "SETUP":
             self.front.set_up(self, message)
         elif message.method == "TEARDOWN":
@@ -270,6 +289,26 @@
             line.send(rtsp.response(200, "1", name, None, self.kept_answer(name)))
         return True
 
+    def hand_on(self, now: float) -> int:
+        """Another process accepts from here on: each connection is ended at a moment at which nothing is open
+        on it and nothing unread, so what is sent to it later comes to a new one.  Returns how many are left.
+
+        Its end is announced first and what still comes is read: closing over something unread would reset the
+        connection, and the viewer might lose the answer before it.
+        """
+        left = 0
+        for line in self.lines:
+            if line.ending_ms is not None:
+                if now - line.ending_ms > CROSSING_MS:
+                    line.close()
+                continue
+            left += 1
+            young = not line.spoken and now - line.since_ms < YOUNG_MS
+            if not line.open and not young and not line.midway and not line.unread():
+                line.ending_ms = now
+                line.half_close()
+        return left
+
     def tell(self, viewer: RtspViewer, data: bytes) -> None:
         """Towards whoever holds the session: on its connection, else on the last of its host to speak, else
         on the last of all.  Guards against releases told to a connection that is no viewer's."""
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -19,7 +19,7 @@
 from cloverhinge import __version__
 from cloverhinge.admin import Admin, snapshot
 from cloverhinge.config import Config, from_environment
-from cloverhinge.core.clock import Clock
+from cloverhinge.core.clock import Clock, to_ms
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
 from cloverhinge.core.told import ConfigError
@@ -32,6 +32,8 @@
 ACCEPT_AFTER_TERM_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
 FLUSH_MS = 150.0  # for what has been written at the end to leave
 HAND_OVER_MS = 3000.0  # for the others to take what this one had: two leases
+HAND_ON_MS = 10.0  # pace at which connections are looked at for a moment of rest
+LAST_MS = 300.0  # beyond the longest wait; the platform ends the process 700 ms after that
 BACKLOG = 256
 PUBLISH_MS = 1000.0  # pace at which the facts for other routers are looked at
 
@@ -115,6 +117,8 @@
         if self.config.listener is None:
             self.port = reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
         else:
+            # Guards against standing still in `accept` where the other process took what was there.
+            os.set_blocking(self.config.listener, False)
             self.port = reactor.adoptStreamPort(self.config.listener, socket.AF_INET, self.front)
         self.log.info("{name}: listening on {host}:{port}, {boxes} boxes known", name=self.config.name,
                       host=host, port=self.port.getHost().port, boxes=len(self.boxes))
@@ -241,8 +245,26 @@
                       open=self.router.open)
         for part in self.parts:
             part.told_to_end()
+        if self.config.listener is not None:
+            self.port.stopListening()  # what lies in its queue is the next process's
+            return self._hand_on(self.clock.now() + self._longest_ms() + LAST_MS)
         self.deadlines.after(ACCEPT_AFTER_TERM_MS, self._finish)
 
+    def _longest_ms(self) -> float:
+        """The longest that a viewer waits for an answer."""
+        return max((to_ms(x.deadline_us) for x in self.config.settings.classes), default=0.0)
+
+    def _hand_on(self, until_ms: float) -> None:
+        """The next process accepts on the same listener: end each connection as it comes to rest."""
+        now = self.clock.now()
+        left = self.front.hand_on(now)
+        if (left == 0 and self.router.open == 0) or now >= until_ms:
+            self.log.info("{name}: handed on, {left} connections and {open} requests left",
+                          name=self.config.name, left=left, open=self.router.open)
+            self.deadlines.after(FLUSH_MS, reactor.stop)
+        else:
+            self.deadlines.after(HAND_ON_MS, lambda: self._hand_on(until_ms))
+
     def _finish(self) -> None:
         for port in (self.port, *self.web_ports):
             port.stopListening()
