Two processes share one router's place: what was heard goes over, the list is caught up before a yes

Need: a new version knew nothing of loads, failures and tokens, took the configuration's old list, and sessions handed to it were counted on top of loads that held them already (state.py, Session.book in take and RungInForce; seen as 'stepping down: load 1.28, 18 sessions' 2.6 s after an upgrade). Now each process holds a locked file in TMPDIR and tells the other what it heard; while both serve each decides as one of twice as many; a new one first hears the change log to its last event.

--- a/cloverhinge/config.py
+++ b/cloverhinge/config.py
@@ -53,6 +53,8 @@
     rules = settings.get("limits") or {}
     listen = environment.get("LB_LISTEN") or told["listen"]
     mgmt, inherited = environment.get("LB_MGMT") or told.get("mgmt"), environment.get("LB_LISTEN_FD")
+    if inherited and not inherited.isdecimal():
+        raise ValueError(f"LB_LISTEN_FD: {inherited!r} is no descriptor")
     return Config(
         name=str(told.get("name") or ""), listen=address(listen, lowest=0),
         seed=int(str(told.get("seed") or "0"), 16), memory_mb=int(limits.get("memory_mb", 192)),
--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -109,7 +109,7 @@
                     self.step_down(short, 1.0 if self.many else SHORT)
             case api.RungInForce(number, _, rung):
                 if (session := self.sessions.get(number)) and session.server and session.rung != rung:
-                    session.book(self.now, session.server, rung)
+                    session.stands(self.now, session.server, rung)
             case api.ViewerLeft(number):
                 if (session := self.sessions.get(number)) and not session.server:
                     self.forget(session)
@@ -429,7 +429,7 @@
         if request.server is not None:
             session.playing, session.noted = True, True
             if server := self.fleet.servers.get(request.server):
-                session.book(self.now, server, kind.floor)
+                session.stands(self.now, server, kind.floor)
             return
         self.requests.add(self.now)
         self.place(session)
--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -45,6 +45,15 @@
         while len(self.history) > 1 and self.history[1][0] <= oldest_us:
             self.history.popleft()
 
+    def stood(self, now_us: int, amount: float) -> None:
+        """Book what has been there all along: a load told before it was booked holds it already."""
+        if self.load is None:
+            return self.book(now_us, amount)
+        self.booked += amount
+        self.history = deque((since_us, booked + amount) for since_us, booked in self.history)
+        if not self.history:
+            self.history.append((0, self.booked))
+
     def booked_at(self, moment_us: int) -> float:
         """Own bookings as they stood at a moment."""
         amount = 0.0
@@ -118,6 +127,17 @@
             limit.book(now_us, amount)
             limit.sessions[self.request.session] = self
 
+    def stands(self, now_us: int, server: Server, rung: int) -> None:
+        """It plays there since before this instance knew of it, at a rung that is told now.
+
+        Guards against counting handed-over sessions twice: in the load that was told, and as growth since.
+        """
+        kb, place = self.rates[rung] - self.kb, 0.0 if self.server else 1.0
+        self.server, self.rung, self.kb = server, rung, self.rates[rung]
+        for limit, amount in zip(server.limits(), (kb, place, kb), strict=True):
+            limit.stood(now_us, amount)
+            limit.sessions[self.request.session] = self
+
     def unbook(self, now_us: int) -> None:
         if self.server:
             for limit, amount in zip(self.server.limits(), (self.kb, 1.0, self.kb), strict=True):
--- a/cloverhinge/lab/stand.py
+++ b/cloverhinge/lab/stand.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import copy
 import json
 import os
 import queue
@@ -198,7 +199,8 @@
 
     def __init__(self, folder: Path, pumps: list[Pump], log: ChangeLog, deploy: Path | None = None,
                  sockets: int = 1024, program: Sequence[str] = ("-m", "cloverhinge"),
-                 **settings: Any) -> None:
+                 operated: bool = False, listener: socket.socket | None = None, **settings: Any) -> None:
+        """`operated`: the staff may call; `listener`: its clients' listening socket is inherited."""
         known = {"seq": 1, "results": [log.event([pump.row() for pump in pumps], full=True)]}
         told = self.configuration("n0", log, known, sockets, **settings)
         self.config, self.told = folder / "config.json", told
@@ -206,14 +208,38 @@
         arguments = [sys.executable, *program, "serve"]
         if deploy is not None:
             arguments += ["--site", str(deploy)]
-        self.process = subprocess.Popen(arguments, cwd=ROOT, stderr=subprocess.PIPE, text=True,
-                                        env={**os.environ, "LB_CONFIG": str(self.config)})
+        self.arguments, self.operated, self.listener = arguments, operated, listener
+        self.environment = {**os.environ, "LB_CONFIG": str(self.config)}
+        if operated:
+            self.environment |= {"LB_MGMT": "127.0.0.1:0", "TMPDIR": str(folder)}
+        if listener is not None:
+            self.environment["LB_LISTEN_FD"] = str(listener.fileno())
+        self._start()
+
+    def _start(self) -> None:
+        inherited = () if self.listener is None else (self.listener.fileno(),)
+        self.process = subprocess.Popen(self.arguments, cwd=ROOT, stderr=subprocess.PIPE, text=True,
+                                        env=self.environment, pass_fds=inherited)
         self.log: list[str] = []
         self.lines: queue.Queue[str] = queue.Queue()
         threading.Thread(target=self._read, daemon=True).start()
+        if self.operated:
+            self.mgmt = int(self.wait_for(r"n0: operators at 127\.0\.0\.1:(\d+)")[1])
         found = self.wait_for(r"n0: listening on 127\.0\.0\.1:(\d+)")
         self.port = int(found[1])
 
+    def successor(self) -> Program:
+        """The same once more, beside this one."""
+        other = copy.copy(self)
+        other._start()
+        return other
+
+    def call(self, line: str) -> list[str]:
+        """The lines of the answer to a call of the staff."""
+        with socket.create_connection(("127.0.0.1", self.mgmt), WAIT_S) as link:
+            link.sendall(line.encode() + b"\n")
+            return link.makefile("rb").read().decode().splitlines()
+
     @staticmethod
     def configuration(name: str, log: ChangeLog, known: dict[str, Any], sockets: int = 1024,
                       **settings: Any) -> dict[str, Any]:
--- a/cloverhinge/net/changelog.py
+++ b/cloverhinge/net/changelog.py
@@ -121,6 +121,17 @@
         self.pause: Key | None = None  # before the next try
         self.backoff_ms = BACKOFF_MS[0]
         self.stopped = False
+        self.waiting: tuple[Key, Callable[[], None]] | None = None  # for the last event
+
+    def when_caught_up(self, call: Callable[[], None], most_ms: float) -> None:
+        """Once a heartbeat has shown that nothing later is known, or after that time without one."""
+        self.waiting = self.deadlines.after(most_ms, self._caught_up), call
+
+    def _caught_up(self) -> None:
+        if self.waiting is not None:
+            (key, call), self.waiting = self.waiting, None
+            self.deadlines.cancel(key)
+            call()
 
     def start(self) -> None:
         self.pause = None
@@ -199,6 +210,8 @@
         if isinstance(value, int):
             if last > self.seq:  # events are missing: ask for them again
                 line.drop()
+            else:
+                self._caught_up()
             return
         if last <= self.seq:
             return
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -32,6 +32,7 @@
 ACCEPT_AFTER_TERM_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
 FLUSH_MS = 150.0  # for what has been written at the end to leave
 HAND_OVER_MS = 3000.0  # for the others to take what this one had: two leases
+CAUGHT_UP_MS = 3000.0  # a change log that tells nothing for so long is not waited for; 6 s are given
 HAND_ON_MS = 10.0  # pace at which connections are looked at for a moment of rest
 LAST_MS = 300.0  # beyond the longest wait; the platform ends the process 700 ms after that
 BACKLOG = 256
@@ -86,7 +87,6 @@
             folder = os.environ.get("TMPDIR")
             self.operation = Operation(reactor, config.name, config.mgmt, Path(folder) if folder else None,
                                        config.sockets, self.router, self.deadlines)
-            self.parts.append(self.operation)
         if site.members is not None:
             from cloverhinge.members.link import Link  # loaded only where there are other routers
 
@@ -113,15 +113,25 @@
         self.changelog.start()
         self.pumps.start()
         self.front.start()
-        host, port = self.config.listen
+        if self.operation is not None:
+            self.operation.start()
         if self.config.listener is None:
+            host, port = self.config.listen
             self.port = reactor.listenTCP(port, self.front, backlog=BACKLOG, interface=host)
+            self._serve()
         else:
             # Guards against standing still in `accept` where the other process took what was there.
             os.set_blocking(self.config.listener, False)
             self.port = reactor.adoptStreamPort(self.config.listener, socket.AF_INET, self.front)
+            self.port.stopReading()  # until the list is known: another process may serve meanwhile
+            self.changelog.when_caught_up(self._serve, CAUGHT_UP_MS)
+
+    def _serve(self) -> None:
+        if self.stopping:
+            return
+        self.port.startReading()
         self.log.info("{name}: listening on {host}:{port}, {boxes} boxes known", name=self.config.name,
-                      host=host, port=self.port.getHost().port, boxes=len(self.boxes))
+                      host=self.config.listen[0], port=self.port.getHost().port, boxes=len(self.boxes))
         if self.site.admin is not None:
             commands: dict[str, Callable[[str], dict[str, Any]]] = (
                 {} if self.custody is None else {"custody": self.custody.look})
@@ -200,7 +210,8 @@
         return snapshot(self.config.name, self.router, self.pumps, self.boxes, self.started_ms, certificate,
                         len(self.plays.table) if self.plays is not None else 0,
                         self.gate.status() if self.gate is not None else []
-                        ) | {part.key: part.status() for part in self.parts}
+                        ) | {part.key: part.status() for part in self.parts
+                             } | ({} if self.operation is None else {"operation": self.operation.status()})
 
     def change(self, change: Change, kind: api.ListKind | None = None) -> None:
         """A list, or a change of one: the router first, as it says what may still be written to."""
@@ -245,6 +256,8 @@
                       open=self.router.open)
         for part in self.parts:
             part.told_to_end()
+        if self.operation is not None:
+            self.operation.told_to_end()
         if self.config.listener is not None:
             self.port.stopListening()  # what lies in its queue is the next process's
             return self._hand_on(self.clock.now() + self._longest_ms() + LAST_MS)
@@ -261,6 +274,8 @@
         if (left == 0 and self.router.open == 0) or now >= until_ms:
             self.log.info("{name}: handed on, {left} connections and {open} requests left",
                           name=self.config.name, left=left, open=self.router.open)
+            if self.operation is not None:
+                self.operation.ended()
             self.deadlines.after(FLUSH_MS, reactor.stop)
         else:
             self.deadlines.after(HAND_ON_MS, lambda: self._hand_on(until_ms))
--- /dev/null
+++ b/cloverhinge/operation/overlap.py
@@ -0,0 +1,50 @@
+"""Two processes in one router's place: who is there, in which phase, and what each takes from the other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+from typing import Literal
+
+import msgspec
+
+from cloverhinge.decision.beside import Known
+
+TOLD_MOST = 512 * 1024  # bytes of what a process tells
+PARTS_MOST = 2  # an old process and a new one; further ones wait their turn with the platform
+
+
+class Phase(Enum):
+    STARTING = "starting"
+    SERVING = "serving"
+    ENDING = "ending"
+
+
+class Told(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a process tells of itself while it lives."""
+
+    form: Literal["router 1"]
+    phase: Phase
+    known: Known
+
+
+def encode(phase: Phase, known: Known) -> bytes:
+    return msgspec.json.encode(Told("router 1", phase, known))
+
+
+def decode(data: bytes) -> Told:
+    """ValueError, in one plain sentence, where it is none of ours."""
+    if len(data) > TOLD_MOST:
+        raise ValueError(f"holds {len(data)} bytes, {TOLD_MOST} at most")
+    try:
+        told: Told = msgspec.json.decode(data, type=Told)
+    except msgspec.MsgspecError as error:
+        raise ValueError(f"is not what a router tells of itself: {error}") from None
+    return told
+
+
+def parts(own: Phase, others: Iterable[Phase]) -> int:
+    """How many processes share the router's new sessions now: one that is told to end takes few more, one
+    that does not serve yet takes none."""
+    serving = sum(1 for one in (own, *others) if one is Phase.SERVING)
+    return max(1, min(serving, PARTS_MOST))
--- a/cloverhinge/operation/part.py
+++ b/cloverhinge/operation/part.py
@@ -12,11 +12,14 @@
 from cloverhinge.core.clock import to_us
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
+from cloverhinge.decision.beside import known, share, take_over
 from cloverhinge.net.changelog import number_of
 from cloverhinge.operation import calls
 from cloverhinge.operation.bans import Bans
+from cloverhinge.operation.beside import Beside
 from cloverhinge.operation.desk import CALLERS_MOST, Desk
 from cloverhinge.operation.figures import Figures
+from cloverhinge.operation.overlap import Phase, encode, parts
 from cloverhinge.operation.shelf import Shelf
 
 SHELF_MS = 100.0  # a call at the process beside this is obeyed so soon: less than half of the shortest grace
@@ -32,11 +35,14 @@
         self.reactor, self.name, self.mgmt = reactor, name, mgmt
         self.router, self.deadlines = router, deadlines
         self.bans = Bans()
-        self.waits_for = "starting"
+        self.phase, self.parts = Phase.STARTING, 1
         self.shelf: Shelf | None = None
+        self.beside: Beside | None = None
         if folder is not None:
-            self.shelf = Shelf(folder / f"cloverhinge-{re.sub(r'[^A-Za-z0-9_-]', '_', name)}-bans.json")
+            stem = f"cloverhinge-{re.sub(r'[^A-Za-z0-9_-]', '_', name)}"
+            self.shelf, self.beside = Shelf(folder / f"{stem}-bans.json"), Beside(folder, stem)
             self._merge()  # before anything is sent
+        self.told = False  # of this process, to others
         self.desk = Desk(lambda line: calls.answer(line, self), deadlines,
                          max(1, min(CALLERS_MOST, int(sockets * CALLERS_SHARE))))
 
@@ -45,20 +51,35 @@
             port = self.reactor.listenTCP(self.mgmt[1], self.desk, interface=self.mgmt[0])
             self.log.info("{name}: operators at {host}:{port}", name=self.name, host=self.mgmt[0],
                           port=port.getHost().port)
-        if self.shelf is not None:
+        if self.beside is not None:
+            self.beside.start()
             self._look()
 
     def serving(self) -> None:
-        self.waits_for = ""
+        self._enter(Phase.SERVING)
 
     def told_to_end(self) -> None:
-        self.waits_for = "told to end"
+        self._enter(Phase.ENDING)
+
+    def ended(self) -> None:
+        beside, self.beside = self.beside, None  # nothing more is told
+        if beside is not None:
+            beside.end()
+
+    def _enter(self, phase: Phase) -> None:
+        self.phase = phase
+        if self.beside is not None:
+            self._compare(self.beside)
+
+    @property
+    def waits_for(self) -> str:
+        return {Phase.STARTING: "starting", Phase.SERVING: "", Phase.ENDING: "told to end"}[self.phase]
 
     def listed(self, names: Iterable[str]) -> None:
         self.bans.names(names)
 
     def status(self) -> dict[str, Any]:
-        return {"left_out": sorted(self.bans.out), "waits_for": self.waits_for}
+        return {"left_out": sorted(self.bans.out), "waits_for": self.waits_for, "processes": self.parts}
 
     # What calls ask and tell
 
@@ -98,6 +119,24 @@
         if self.bans.lacking(records):
             self.shelf.write(self.bans.encode())
 
+    def _compare(self, beside: Beside) -> None:
+        """What each process says of itself, and what that comes to for this one."""
+        others, router = beside.others(), self.router
+        if others or not self.told:
+            self.told = True
+            beside.tell(encode(self.phase, known(router.controller)))
+        for other in others:
+            if other is not None and other.known.servers:
+                take_over(router.controller, to_us(router.clock.now()), other.known)
+        shared = parts(self.phase, (x.phase for x in others if x is not None))
+        if shared != self.parts:
+            self.parts = shared
+            share(router.controller, router.settings, shared)
+            self.log.info("{name}: {parts} in this router's place", name=self.name,
+                          parts="another process serves" if shared > 1 else "no other process serves")
+
     def _look(self) -> None:
         self._merge()
+        if self.beside is not None:
+            self._compare(self.beside)
         self.deadlines.after(SHELF_MS, self._look)
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,238 @@
+"""What the staff do, decided without I/O: calls, bans that merge, figures, two processes in one place."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverhinge.core.model import Ask, Cause, Request, State
+from cloverhinge.decision import interface as api
+from cloverhinge.decision.beside import known, share, take_over
+from cloverhinge.decision.interface import Outcome
+from cloverhinge.operation import bans, calls, overlap
+from cloverhinge.operation.bans import Bans, Record
+from cloverhinge.operation.figures import Figures
+from cloverhinge.operation.overlap import Phase
+from tests.helpers import BASE, Drive
+from tests.test_core import Stand
+
+
+class Asked:
+    """The router as a call sees it."""
+
+    waits_for = ""
+
+    def __init__(self) -> None:
+        self.bans = Bans()
+        self.bans.names(["s-1", "s-2"])
+
+    def figures(self) -> Figures:
+        return Figures({}, 3, 2, len(self.bans.out))
+
+    def known(self, name: str) -> bool:
+        return self.bans.known(name)
+
+    def leave_out(self, name: str, out: bool) -> bool:
+        return self.bans.tell(name, out, 1000.0)
+
+
+@pytest.mark.parametrize("line", [b"", b"\xff\xfe", b"status now", b"maint-on", b"maint-on a b", b"STATUS",
+                                  b"stats s-1", b"maint-off s-9", b"maint-on " + b"s" * 200, b"help\x00"])
+def test_whatever_is_no_call_gets_one_plain_no(line: bytes) -> None:
+    said = calls.answer(line, Asked())
+    assert said.startswith("NAK ") and said.count("\n") == 1
+
+
+def test_calls_may_be_repeated_and_one_ends_a_ban() -> None:
+    router = Asked()
+    for _ in range(3):
+        assert calls.answer(b" maint-on s-1\r", router) == "ACK\n"
+    assert calls.answer(b"stats", router).splitlines() == [
+        "ACK", "active=3", "pool_size=2", "pool_ejected=1", "--"]
+    assert calls.answer(b"maint-off s-1", router) == "ACK\n" and not router.bans.out
+    router.waits_for = "starting"
+    assert calls.answer(b"status", router) == "NAK starting\n"
+
+
+def test_bans_are_bounded_and_an_id_that_left_the_list_stays_known(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(bans, "BANS_MOST", 2)
+    monkeypatch.setattr(bans, "RECORDS_MOST", 4)
+    monkeypatch.setattr(bans, "NAMES_MOST", 3)
+    held = Bans()
+    assert [held.tell(f"s-{n}", True, float(n)) for n in range(3)] == [True, True, False]
+    for n in range(50):
+        held.tell(f"t-{n}", False, float(n))
+    assert len(held.records) <= 4 and held.out == {"s-0", "s-1"}
+    held.names(f"u-{n}" for n in range(9))
+    assert list(held.listed) == ["u-6", "u-7", "u-8"] and held.known("s-0")
+
+
+changes = st.lists(st.tuples(st.sampled_from("abc"), st.booleans(), st.integers(0, 5)), max_size=12)
+
+
+@given(changes, st.randoms(use_true_random=False))
+def test_two_processes_agree_in_whatever_order_they_hear(told: list[tuple[str, bool, int]],
+                                                         order: random.Random) -> None:
+    one, other = Bans(), Bans()
+    for name, out, at in told:
+        (one if order.random() < 0.5 else other).tell(name, out, float(at))
+    mine, theirs = dict(one.records), bans.decode(other.encode())
+    one.merge(theirs, 10.0)
+    for name in order.sample(sorted(mine), len(mine)):
+        other.merge({name: mine[name]}, 10.0)
+    assert one.records == other.records and one.out == other.out
+    assert one.out == {name for name, record in one.records.items() if record.out}
+    assert not one.lacking(other.records) and not other.lacking(one.records)
+
+
+@pytest.mark.parametrize("data,says", [
+    (b"", "is no file of bans"), (b'{"form":"bans 2","records":{}}', "is no file of bans"),
+    (b'{"form":"bans 1","records":{"":[1,true]}}', "makes no sense"),
+    (b'{"form":"bans 1","records":{"a":[-1,true]}}', "makes no sense"), (b"x" * 600_000, "at most")])
+def test_a_bad_file_is_one_plain_sentence(data: bytes, says: str) -> None:
+    with pytest.raises(ValueError, match=says):
+        bans.decode(data)
+
+
+class Person:
+    """Counts what a viewer is told, as the oracle of the figures."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def served(self, answer: bytes) -> None:
+        self.told.append("ok")
+
+    def refused(self, hold_off_ms: float, ticket: str = "") -> None:
+        self.told.append("shed")
+
+    def failed(self, why: Outcome | None) -> None:
+        self.told.append("errors")
+
+    def released(self, cause: Cause) -> None: ...
+    def moved(self) -> None: ...
+
+
+happens = st.sampled_from(["ask", "serve", "full", "error", "reset", "wait", "leave", "over"])
+steps = st.lists(st.tuples(happens, st.integers(0, 7)), min_size=5, max_size=60)
+
+
+@given(steps)
+def test_each_request_stands_in_one_count_exactly_once(told: list[tuple[str, int]]) -> None:
+    """Guards the figures over random lives: given up, late, released, answered twice, refused for room."""
+    stand = Stand(cold_us=0)
+    router, out = stand.router, stand.sent
+    people: list[tuple[str, Person, Request | None]] = []
+    written: dict[str, int] = {"film": 0, "paid": 0}
+    for number, (what, which) in enumerate(told):
+        attempt = out[which % len(out)] if out else None
+        if what == "ask":
+            kind, person = ("film", "paid")[which % 2], Person()
+            people.append((kind, person, router.take(
+                Ask(f"{number:016x}", kind, f"t{which}", 0, 6, 2, 3000.0), person, stand)))
+        elif what == "wait":
+            stand.pass_ms(200.0 * (1 + which))
+        elif what == "leave" and people:
+            request = people[which % len(people)][2]
+            if request is not None:
+                router.leave(request)
+        elif what == "over" and people:
+            request = people[which % len(people)][2]
+            if request is not None and request.state is State.STANDS:
+                router.session_over(request, Outcome.SERVED)
+        elif attempt is not None:
+            out.remove(attempt)
+            before = attempt.written
+            if router.may_write(attempt) and not before:
+                written[attempt.request.kind.name] += 1
+            if what == "serve":
+                router.answered(attempt, b"made")
+                router.answered(attempt, b"twice")
+            else:
+                router.attempt_ended(attempt, {"full": Outcome.FULL, "error": Outcome.ERROR,
+                                               "reset": Outcome.RESET}[what])
+    for kind in written:
+        tally, heard = router.counters.tallies[kind], [x for k, p, _ in people if k == kind for x in p.told]
+        assert (tally.ok, tally.shed, tally.errors, tally.tries) == (
+            heard.count("ok"), heard.count("shed"), heard.count("errors"), written[kind])
+    assert all(len(person.told) <= 1 for _, person, _ in people)
+
+
+def test_a_box_left_out_by_hand_drains_whatever_the_list_says_and_comes_back_cold() -> None:
+    stand = Stand()
+    router, listed = stand.router, stand.listings
+    router.leave_out(10)
+    for kind in (api.ListKind.DELTA, api.ListKind.FULL):
+        router.fleet(kind, listed)  # the list names it as ready again
+        assert not router.sendable(10) and router.sendable(11)
+    stand.told_of(10, api.Health.GONE)
+    router.put_back(10)
+    assert 10 not in router.listings  # the list has it no more
+    router.leave_out(10)
+    router.fleet(api.ListKind.DELTA, listed[:1])
+    assert not router.sendable(10)
+    server = router.controller.fleet.servers[10]
+    server.failures, server.distrusted_until_us = 3, 1 << 60
+    server.link.load = 0.99
+    router.put_back(10)
+    server = router.controller.fleet.servers[10]
+    assert router.sendable(10) and server.failures == 0 and server.distrusted_until_us == 0
+    assert router.controller.warmth(server) < 0.5 and router.controller.load_of(server.link) < 0.1
+
+
+def test_an_attempt_that_waits_for_its_connection_is_not_sent_to_a_box_left_out_meanwhile() -> None:
+    stand = Stand(cold_us=0)
+    router, _ = stand.router, stand.take()
+    first = stand.sent.pop()
+    router.leave_out(first.server)
+    assert not router.may_write(first) and stand.sent[0].server != first.server
+    assert router.counters.tallies["film"].tries == 0
+
+
+@pytest.mark.parametrize("own,others,count", [
+    (Phase.SERVING, [], 1), (Phase.SERVING, [Phase.STARTING], 1), (Phase.SERVING, [Phase.SERVING], 2),
+    (Phase.SERVING, [Phase.ENDING], 1), (Phase.STARTING, [Phase.SERVING], 1), (Phase.ENDING, [], 1),
+    (Phase.SERVING, [Phase.SERVING] * 4, 2)])
+def test_how_many_share_the_routers_place(own: Phase, others: list[Phase], count: int) -> None:
+    assert overlap.parts(own, others) == count
+
+
+def test_the_new_process_takes_over_what_the_old_one_knows_better() -> None:
+    old, new = Drive(), Drive()
+    old.note(10, link=0.8, uplink=0.4)
+    old.play("t")
+    old.controller.fleet.servers[11].distrusted_until_us = old.now + 5_000_000
+    told = overlap.decode(overlap.encode(Phase.ENDING, known(old.controller))).known
+    new.now = old.now + 1
+    new.controller.handle(new.now, api.TimerFired(0))
+    take_over(new.controller, new.now, told)
+    mine = new.controller.fleet.servers
+    assert mine[10].link.load == pytest.approx(0.8, abs=0.05)
+    assert new.controller.tokens == old.controller.tokens
+    assert mine[11].distrusted_until_us == old.controller.fleet.servers[11].distrusted_until_us
+    mine[10].link.load, mine[10].link.described_us = 0.1, new.now  # heard by itself since
+    take_over(new.controller, new.now, told)
+    assert mine[10].link.load == 0.1
+    share(new.controller, BASE, 2)
+    assert new.controller.settings.fleet_size == 2 * BASE.fleet_size
+    share(new.controller, BASE, 1)
+    assert new.controller.settings == BASE
+
+
+def test_a_session_handed_over_is_not_counted_on_top_of_the_load_that_held_it() -> None:
+    """Guards against a step down of those who play, each time a new version takes them over."""
+    drive = Drive()
+    drive.note(10, link=0.7)
+    drive.ask(server=10)
+    server = drive.controller.fleet.servers[10]
+    assert drive.controller.load_of(server.link) == pytest.approx(0.7)
+    drive.tell(api.RungInForce(drive.next, 10, 2))
+    assert drive.controller.load_of(server.link) == pytest.approx(0.7) and server.link.booked == 400.0
+
+
+def test_a_record_is_later_by_its_moment_and_a_ban_wins_at_the_same() -> None:
+    assert Record(2.0, False).later(Record(1.0, True)) and Record(1.0, True).later(Record(1.0, False))
+    assert not Record(1.0, False).later(Record(1.0, True))
