--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 from cloverhinge.core.deadlines import Key
-from cloverhinge.decision.interface import Outcome, ServiceClass
+from cloverhinge.decision.interface import Outcome, ServerListing, ServiceClass
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +126,14 @@
         self.outcomes[outcome.value] = self.outcomes.get(outcome.value, 0) + 1
 
 
+@dataclass(slots=True)
+class LeftOut:
+    """A box left out by hand: since when, and as the list has it meanwhile, where it does."""
+
+    since_us: int
+    listing: ServerListing | None
+
+
 class Viewer(Protocol):
     """Towards whoever asked.  Exactly one of the first three is called, unless the viewer has left."""
 
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -23,6 +23,7 @@
     Counters,
     Custody,
     Door,
+    LeftOut,
     Prober,
     Request,
     State,
@@ -54,7 +55,7 @@
         self.by_title: dict[str, set[Request]] = {}
         self.standing: dict[int, dict[int, Request]] = {}  # by server, then by handle
         self.listings: dict[int, api.ServerListing] = {}  # those left out by hand as draining
-        self.left_out: dict[int, api.ServerListing | None] = {}  # by hand; as the list has them, if it does
+        self.left_out: dict[int, LeftOut] = {}  # by hand
         self.counters = Counters({one: Tally() for one in self.classes})
         self.prober: Prober | None = None
         self.door: Door | None = None
@@ -499,28 +500,32 @@
     def _laid_over(self, kind: api.ListKind, told: tuple[api.ServerListing, ...]
                    ) -> Iterator[api.ServerListing]:
         if kind is not api.ListKind.DELTA:
-            self.left_out = dict.fromkeys(self.left_out)
+            for held in self.left_out.values():
+                held.listing = None
         for one in told:
-            if one.server in self.left_out:
-                self.left_out[one.server] = None if one.health is Health.GONE else one
+            if (kept := self.left_out.get(one.server)) is not None:
+                kept.listing = None if one.health is Health.GONE else one
                 if one.health is Health.READY:
                     one = replace(one, health=Health.DRAINING)
             yield one
 
-    def leave_out(self, server: int) -> None:
-        """By hand: nothing new goes there from now on, as at a drain, until it is put back."""
+    def leave_out(self, server: int, since_ms: float) -> None:
+        """By hand: nothing new goes there from now on, as at a drain, until it is put back.  `since_ms` is
+        the Unix time of the call, which another process may have heard."""
         if server not in self.left_out:
             listing = self.listings.get(server)
-            self.left_out[server] = listing
+            self.left_out[server] = LeftOut(to_us(since_ms), listing)
             if listing is not None:
                 self.fleet(api.ListKind.DELTA, (listing,))
 
     def put_back(self, server: int) -> None:
-        """By hand: as the list has it, and as one that starts now with nothing known of it."""
-        listing = self.left_out.pop(server, None)
-        if listing is not None:
-            now_us = to_us(self.clock.now())
-            self.fleet(api.ListKind.DELTA, (replace(listing, started_us=now_us, anew=True),))
+        """By hand: as the list has it, with nothing known of it.  It has started since it was left out, when
+        the list says so, else now: who would be taken for warm while it is cold would fall."""
+        held = self.left_out.pop(server, None)
+        if held is not None and held.listing is not None:
+            told_us = held.listing.started_us
+            started_us = told_us if told_us >= held.since_us else to_us(self.clock.now())
+            self.fleet(api.ListKind.DELTA, (replace(held.listing, started_us=started_us, anew=True),))
 
     def probed(self, server: int, outcome: Outcome, took_ms: float, report: api.LoadReport | None) -> None:
         self.tell(api.ProbeEnded(server, outcome, to_us(took_ms), report))
--- a/cloverhinge/operation/part.py
+++ b/cloverhinge/operation/part.py
@@ -108,7 +108,10 @@
 
     def _obey(self, changed: dict[str, bool]) -> None:
         for name, out in changed.items():
-            (self.router.leave_out if out else self.router.put_back)(number_of(name))
+            if out:
+                self.router.leave_out(number_of(name), self.bans.records[name].at_ms)
+            else:
+                self.router.put_back(number_of(name))
             self.log.info("box {box}: {what}", box=name, what="left out by hand" if out else "put back")
 
     def _merge(self) -> None:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cloverhinge.core.clock import to_us
 from cloverhinge.core.model import Ask, Cause, Request, State
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.beside import known, share, take_over
@@ -164,14 +166,14 @@
 def test_a_box_left_out_by_hand_drains_whatever_the_list_says_and_comes_back_cold() -> None:
     stand = Stand()
     router, listed = stand.router, stand.listings
-    router.leave_out(10)
+    router.leave_out(10, stand.clock.now())
     for kind in (api.ListKind.DELTA, api.ListKind.FULL):
         router.fleet(kind, listed)  # the list names it as ready again
         assert not router.sendable(10) and router.sendable(11)
     stand.told_of(10, api.Health.GONE)
     router.put_back(10)
     assert 10 not in router.listings  # the list has it no more
-    router.leave_out(10)
+    router.leave_out(10, stand.clock.now())
     router.fleet(api.ListKind.DELTA, listed[:1])
     assert not router.sendable(10)
     server = router.controller.fleet.servers[10]
@@ -181,13 +183,19 @@
     server = router.controller.fleet.servers[10]
     assert router.sendable(10) and server.failures == 0 and server.distrusted_until_us == 0
     assert router.controller.warmth(server) < 0.5 and router.controller.load_of(server.link) < 0.1
+    router.leave_out(10, stand.clock.now())
+    started_us = to_us(stand.clock.now()) + 2_000_000
+    router.fleet(api.ListKind.DELTA, (replace(listed[0], started_us=started_us),))
+    stand.pass_ms(6000.0)
+    router.put_back(10)
+    assert router.controller.fleet.servers[10].cold_since_us == started_us  # the list knows better
 
 
 def test_an_attempt_that_waits_for_its_connection_is_not_sent_to_a_box_left_out_meanwhile() -> None:
     stand = Stand(cold_us=0)
     router, _ = stand.router, stand.take()
     first = stand.sent.pop()
-    router.leave_out(first.server)
+    router.leave_out(first.server, stand.clock.now())
     assert not router.may_write(first) and stand.sent[0].server != first.server
     assert router.counters.tallies["film"].tries == 0
 
