A refused connection alone cuts no session; the change log's heartbeat is known in either form

Now a refusal cuts at once only where a line was reset before, else after 2.5 s of refusals (the rule allows 8 s). Ruled out: the pump's death, its sessions stood.

--- a/cloverhinge/lab/stand.py
+++ b/cloverhinge/lab/stand.py
@@ -223,10 +223,13 @@
         self.log: list[str] = []
         self.lines: queue.Queue[str] = queue.Queue()
         threading.Thread(target=self._read, daemon=True).start()
-        if self.operated:
-            self.mgmt = int(self.wait_for(r"n0: operators at 127\.0\.0\.1:(\d+)")[1])
-        found = self.wait_for(r"n0: listening on 127\.0\.0\.1:(\d+)")
-        self.port = int(found[1])
+        try:
+            if self.operated:
+                self.mgmt = int(self.wait_for(r"n0: operators at 127\.0\.0\.1:(\d+)")[1])
+            self.port = int(self.wait_for(r"n0: listening on 127\.0\.0\.1:(\d+)")[1])
+        except AssertionError:
+            self.process.kill()  # nobody else would
+            raise
 
     def successor(self) -> Program:
         """The same once more, beside this one."""
--- a/cloverhinge/net/changelog.py
+++ b/cloverhinge/net/changelog.py
@@ -207,7 +207,7 @@
         self._watch()
         self.backoff_ms = BACKOFF_MS[0]
         last = value if isinstance(value, int) else value["seq"]
-        if isinstance(value, int):
+        if isinstance(value, int) or len(value) == 1:  # the last number alone: the heartbeat
             if last > self.seq:  # events are missing: ask for them again
                 line.drop()
             else:
--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.logger import Logger
 from twisted.python.failure import Failure
@@ -32,6 +32,7 @@
 SILENT_MS = 5500.0  # a pump with sessions that said nothing for so long has to take a new connection
 DEAD_MS = 7000.0  # one that took none for so long has lost its sessions; the rule allows 8 s
 SHORT_MS = 1000.0  # a line that lasted so long is opened anew at once
+REFUSED_MS = 2500.0  # a pump that refuses connections for so long holds no session any more
 RETRY_MS = (200.0, 2000.0)  # pause before a failed connection is tried again
 IDLE_SHARE = 0.6  # of the time after which idle connections are closed, a line without traffic is given up
 RETIRE_MS = 1500.0  # a replaced line is read for so long after its end was announced
@@ -132,6 +133,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.gone = True
         self.pump.pool.deadlines.cancel(self.partial)
+        self.pump.reset = self.pump.reset or reason.check(ConnectionLost) is not None
         self.pump.down(self)
 
 
@@ -172,6 +174,8 @@
     retry_at_ms: float = 0.0
     retry_ms: float = RETRY_MS[0]
     listed: bool = True
+    reset: bool = False  # a line to it was, since one last came up
+    refused_ms: float | None = None  # it takes no connection since
 
     def open(self) -> None:
         self.opening += 1
@@ -190,6 +194,7 @@
 
     def up(self, line: PumpLine) -> None:
         self.opening, self.retry_ms = self.opening - 1, RETRY_MS[0]
+        self.reset, self.refused_ms = False, None
         line.since_ms = line.used_ms = line.traffic_ms = self.heard_ms = self.pool.clock.now()
         if not self.listed:
             line.close()
@@ -229,8 +234,16 @@
                 self.pool.router.attempt_ended(one, Outcome.CONNECT_FAILED)
             else:
                 self.pool.probe_ended(one, Outcome.CONNECT_FAILED)
-        if refused and not self.lines:
-            self.pool.router.cut_all(self.box.number)  # no process is there that could hold a session
+        if not refused:
+            return
+        self.refused_ms = self.refused_ms or now
+        standing = len(self.pool.router.standing.get(self.box.number, ()))
+        # Guards against cutting what plays at a pump that takes no more connections: only where one to it was
+        # reset before does a refusal show at once that no process is there.
+        if standing and (self.reset or now - self.refused_ms >= REFUSED_MS):
+            self.pool.log.warn("pump {name}: refuses connections, its {standing} sessions are taken as lost",
+                               name=self.box.name, standing=standing)
+            self.pool.router.cut_all(self.box.number)
 
     def down(self, line: PumpLine) -> None:
         for lines in (self.lines, self.retiring):
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 import pytest
 
+from cloverhinge.core.clock import ManualClock
+from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.decision.interface import Health
-from cloverhinge.net.changelog import number_of, parse_event
+from cloverhinge.net.changelog import Change, ChangeLog, ChangeLogLine, number_of, parse_event
 
 ROW: dict[str, Any] = {"instanceId": "s-00c41f7a", "hostPort": "10.1.0.9:5060", "zone": "east",
                        "machineType": "std", "cell": 2, "lifecycle": "leaving", "weight": 4,
@@ -39,3 +42,33 @@
 def test_what_is_no_event_is_refused(event: Any) -> None:
     with pytest.raises(ValueError):
         parse_event(event)
+
+
+@pytest.mark.parametrize("last", [b"1", b'{"seq":1}'])
+def test_the_last_number_alone_is_the_heartbeat_in_either_form(last: bytes) -> None:
+    """Guards the wait of a new version, and events that a heartbeat runs ahead of."""
+    deadlines, told, done = Deadlines(ManualClock()), list[Change](), list[bool]()
+    log = ChangeLog(None, ("127.0.0.1", 1), 0, deadlines, told.append, random.Random(1))
+    log.line = line = ChangeLogLine(log)
+    log.when_caught_up(lambda: done.append(True), 3000.0)
+    log.heard(line, last)
+    assert line.gone and not done and log.seq == 0  # an event is missing: it is asked for again
+    log.line = line = ChangeLogLine(log)
+    log.heard(line, b'{"seq":1,"fleet":{"reset":true,"instances":[]}}')
+    assert not done
+    log.heard(line, last)
+    log.heard(line, last)
+    assert done == [True] and len(told) == 1
+
+
+def test_a_change_log_that_says_nothing_is_not_waited_for_without_end() -> None:
+    clock, done = ManualClock(), list[bool]()
+    deadlines = Deadlines(clock)
+    log = ChangeLog(None, ("127.0.0.1", 1), 0, deadlines, lambda change: None, random.Random(1))
+    log.when_caught_up(lambda: done.append(True), 3000.0)
+    clock.advance(2999.0)
+    deadlines.run()
+    assert not done
+    clock.advance(2.0)
+    deadlines.run()
+    assert done == [True]
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -154,6 +154,25 @@
         assert time.monotonic() - started < 8.0
 
 
+def test_a_pump_that_takes_no_more_connections_keeps_its_sessions_for_a_while(tmp_path: Path) -> None:
+    """Guards what a new version is handed: it has no line to a pump yet, and one that is full refuses too."""
+    with site(tmp_path, 1) as (program, pumps, _):
+        port = pumps[0].socket.getsockname()[1]
+        pumps[0].stop()
+        viewer = program.connect()
+        name = ask(viewer, 1, dest="home:0;copies:3;top:1;viewer:aa;at:s-00000000")
+        started = time.monotonic()
+        gone = answer(viewer, "TEARDOWN")
+        assert (gone.session, gone.headers["reason"]) == (name, "cause=41")
+        assert 2.0 < time.monotonic() - started < 8.0
+        again = ask(viewer, 2, dest="home:0;copies:3;top:1;viewer:aa;at:s-00000000")
+        back = Pump("s-00000000", 0, port)  # a place is free again
+        viewer.send("TEARDOWN rtsp://media/x RTSP/1.0", again, 2)
+        assert answer(viewer).status == 200
+        assert {back.expect("TEARDOWN")[1].session for _ in range(2)} == {name, again}
+        back.stop()
+
+
 def test_a_drained_pump_gets_nothing_new_and_a_carried_session_no_answer(tmp_path: Path) -> None:
     with site(tmp_path) as (program, pumps, log):
         viewer = program.connect()
