Seats, further attempts and lines to boxes are one router's while two processes share its place

Need: of what two processes of an upgrade must keep as one router, seats were counted by each for itself, free further attempts and lines to boxes stood twice. Each now tells the seats it has given out (read by state.held, so by the module's own test), halves the free attempts and opens half as many lines.

--- a/cloverhinge/decision/beside.py
+++ b/cloverhinge/decision/beside.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 import msgspec
@@ -29,6 +30,7 @@
 class Known(msgspec.Struct, frozen=True):
     servers: dict[int, Heard] = {}
     tokens: dict[str, int] = {}  # title to the server that takes its sessions, the latest last
+    seats: dict[str, dict[str, int]] = {}  # taken, by class and title, of classes that have seats
 
 
 def known(module: Controller) -> Known:
@@ -42,7 +44,12 @@
         told[number] = Heard(link, places, uplink, server.failures, server.distrusted_until_us,
                              server.cold_since_us or 0)
     latest = list(module.tokens.items())[-TOKENS_TOLD:]
-    return Known(told, dict(latest))
+    seats: dict[str, dict[str, int]] = {}
+    for session in module.sessions.values():
+        if session.kind.seats and (session.server or session.playing):
+            titles = seats.setdefault(session.kind.name, {})
+            titles[session.request.title] = titles.get(session.request.title, 0) + 1
+    return Known(told, dict(latest), seats)
 
 
 def take_over(module: Controller, now_us: int, other: Known) -> None:
@@ -67,7 +74,19 @@
     module.tokens = new | module.tokens
 
 
+def seats_elsewhere(module: Controller, others: Iterable[Known]) -> None:
+    """A title's seats are one router's, whoever of those in its place has given them out."""
+    taken: dict[str, dict[str, int]] = {}
+    for other in others:
+        for kind, titles in other.seats.items():
+            of_kind = taken.setdefault(kind, {})
+            for title, count in titles.items():
+                of_kind[title] = of_kind.get(title, 0) + count
+    module.sessions.elsewhere = taken
+
+
 def share(module: Controller, told: api.Settings, parts: int) -> None:
     """From now on so many instances together are the router that the settings tell of, each with its part of
-    the traffic: what is derived from the number of routers is then right for all of them together."""
-    module.settings = replace(told, fleet_size=told.fleet_size * parts)
+    the traffic: what is derived from the number of routers is then right for all of them together, and so is
+    the sum of the further attempts that are free."""
+    module.settings = replace(told, fleet_size=told.fleet_size * parts, budget_free=told.budget_free / parts)
--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -13,7 +13,7 @@
 from statistics import NormalDist
 
 from cloverhinge.decision import interface as api
-from cloverhinge.decision.state import Fleet, Limit, Recent, Server, Session, held
+from cloverhinge.decision.state import Fleet, Limit, Recent, Server, Session, Sessions, held
 
 MARK = 0.90  # load up to which sessions are admitted; the rest is room for the spread of true rates
 RESERVE = 0.2  # load left free by steps that earn nothing, in proportion by others
@@ -52,7 +52,7 @@
         self.classes = {one.name: one for one in settings.classes}
         self.fleet = Fleet(settings)
         self.tokens: dict[str, int] = {}
-        self.sessions: dict[int, Session] = {}
+        self.sessions = Sessions()
         self.asked: dict[int, list[Session]] = {}  # who waits for the probes that are out
         self.requests = Recent(max(PACE_SPAN_US, settings.budget_span_us))  # for the budget and peers' pace
         self.averages: dict[int, tuple[float, float, float]] = {}  # of this event
--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -145,10 +145,19 @@
         self.server = None
 
 
-def held(sessions: dict[int, Session], asking: Session) -> int:
-    """Own sessions of a title and class, set-ups included."""
-    return sum(1 for x in sessions.values() if x.kind is asking.kind and (x.server or x.playing)
-               and x.request.title == asking.request.title)
+class Sessions(dict[int, Session]):
+    """By number; beside them, how many of a class and title another instance in this one's place holds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.elsewhere: dict[str, dict[str, int]] = {}
+
+
+def held(sessions: Sessions, asking: Session) -> int:
+    """Own sessions of a title and class, set-ups included, and those held elsewhere in this one's place."""
+    own = sum(1 for x in sessions.values() if x.kind is asking.kind and (x.server or x.playing)
+              and x.request.title == asking.request.title)
+    return own + sessions.elsewhere.get(asking.kind.name, {}).get(asking.request.title, 0)
 
 
 class Recent:
--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -417,6 +417,7 @@
         self.pumps: dict[int, Pump] = {}
         self.unlisted: list[Pump] = []
         self.probe_count = 0
+        self.parts = 1  # processes that share this router's place, and what a pump grants one router
         router.prober = self
         self.handed_on: Callable[[str], bool] = lambda name: False  # another router has it by now
 
@@ -440,9 +441,13 @@
             if number not in self.pumps:
                 self.pumps[number] = Pump(self, box, heard_ms=self.clock.now())
 
+    def share(self, parts: int) -> None:
+        """So many processes are one router to the pumps; lines beyond the part stay, but open no more."""
+        self.parts = parts
+
     def lines_most(self) -> int:
         """To one pump; all together take a fifth of the descriptors at most."""
-        return max(1, min(LINES_MOST, self.sockets // 5 // max(1, len(self.pumps))))
+        return max(1, min(LINES_MOST, self.sockets // 5 // max(1, len(self.pumps))) // self.parts)
 
     # Boxes
 
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -87,6 +87,7 @@
             folder = os.environ.get("TMPDIR")
             self.operation = Operation(reactor, config.name, config.mgmt, Path(folder) if folder else None,
                                        config.sockets, self.router, self.deadlines)
+            self.operation.shared = self.pumps.share
         if site.members is not None:
             from cloverhinge.members.link import Link  # loaded only where there are other routers
 
--- a/cloverhinge/operation/part.py
+++ b/cloverhinge/operation/part.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -12,7 +12,7 @@
 from cloverhinge.core.clock import to_us
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
-from cloverhinge.decision.beside import known, share, take_over
+from cloverhinge.decision.beside import known, seats_elsewhere, share, take_over
 from cloverhinge.net.changelog import number_of
 from cloverhinge.operation import calls
 from cloverhinge.operation.bans import Bans
@@ -36,6 +36,7 @@
         self.router, self.deadlines = router, deadlines
         self.bans = Bans()
         self.phase, self.parts = Phase.STARTING, 1
+        self.shared: Callable[[int], None] = lambda parts: None  # told how many share the router's place
         self.shelf: Shelf | None = None
         self.beside: Beside | None = None
         if folder is not None:
@@ -131,10 +132,12 @@
         for other in others:
             if other is not None and other.known.servers:
                 take_over(router.controller, to_us(router.clock.now()), other.known)
+        seats_elsewhere(router.controller, (x.known for x in others if x is not None))
         shared = parts(self.phase, (x.phase for x in others if x is not None))
         if shared != self.parts:
             self.parts = shared
             share(router.controller, router.settings, shared)
+            self.shared(shared)
             self.log.info("{name}: {parts} in this router's place", name=self.name,
                           parts="another process serves" if shared > 1 else "no other process serves")
 
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -1,4 +1,4 @@
-"""Takes one guard out of the program, to see that its test fails: `python -m tests.guards [custody]`.
+"""Takes one guard out, to see that its test fails: `python -m tests.guards [custody|operation]`.
 
 No part of CI.  LAB_GUARD_OUT names the guard, in the tests' process and in the routers that they start.
 """
@@ -15,6 +15,7 @@
 from cloverhinge.custody import keeper, part, place, register
 from cloverhinge.custody import wire as custody_wire
 from cloverhinge.members import core, watch, wire
+from tests import operation_guards
 
 VARIABLE = "LAB_GUARD_OUT"
 
@@ -202,7 +203,8 @@
     "a claim counts once all keepers have taken it": (claims_of_most, [
         f"{MODELLED}::test_a_claim_that_one_keeper_took_hides_nothing_that_most_hold"]),
 }
-GUARDS |= CUSTODY
+GROUPS = {"members": dict(GUARDS), "custody": CUSTODY, "operation": operation_guards.GUARDS}
+GUARDS |= CUSTODY | operation_guards.GUARDS
 
 
 def out() -> None:
@@ -226,18 +228,18 @@
     from benchmarks.tables import keep
 
     rows: list[dict[str, object]] = []
-    which = CUSTODY if "custody" in sys.argv[1:] else {x: y for x, y in GUARDS.items() if x not in CUSTODY}
-    for name, (_, tests) in which.items():
+    group = next((x for x in sys.argv[1:] if x in GROUPS), "members")
+    for name, (_, tests) in GROUPS[group].items():
         for test in tests:
             done = subprocess.run([sys.executable, "-m", "pytest", "-n", "0", test], capture_output=True,
                                   text=True, env={**os.environ, VARIABLE: name}, timeout=LIMIT_S)
             seen = "fails" if done.returncode == 1 else f"PASSES ({done.returncode})"
             rows.append({"taken out": name, "test": test.partition("::")[2], "without it": seen})
             print(rows[-1], flush=True)
-    part_, command = ("Custody", " custody") if which is CUSTODY else ("Membership", "")
-    keep(f"{'custody' if command else 'members'}_guards", f"{part_}: each test without its guard", [
+    keep(f"{group}_guards", f"{'Membership' if group == 'members' else group.capitalize()}: "
+         "each test without its guard", [
         ("`fails` is what is wanted: the same test passes with the guard in.", rows)],
-        f"python -m tests.guards{command}")
+        "python -m tests.guards" + ("" if group == "members" else f" {group}"))
     return int(any(row["without it"] != "fails" for row in rows))
 
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -12,13 +12,13 @@
 from cloverhinge.core.clock import to_us
 from cloverhinge.core.model import Ask, Cause, Request, State
 from cloverhinge.decision import interface as api
-from cloverhinge.decision.beside import known, share, take_over
+from cloverhinge.decision.beside import known, seats_elsewhere, share, take_over
 from cloverhinge.decision.interface import Outcome
 from cloverhinge.operation import bans, calls, overlap
 from cloverhinge.operation.bans import Bans, Record
 from cloverhinge.operation.figures import Figures
 from cloverhinge.operation.overlap import Phase
-from tests.helpers import BASE, Drive
+from tests.helpers import BASE, Drive, of
 from tests.test_core import Stand
 
 
@@ -224,12 +224,25 @@
     mine[10].link.load, mine[10].link.described_us = 0.1, new.now  # heard by itself since
     take_over(new.controller, new.now, told)
     assert mine[10].link.load == 0.1
-    share(new.controller, BASE, 2)
+    share(new.controller, replace(BASE, budget_free=4.0), 2)
+    assert new.controller.settings.budget_free == 2.0
     assert new.controller.settings.fleet_size == 2 * BASE.fleet_size
     share(new.controller, BASE, 1)
     assert new.controller.settings == BASE
 
 
+def test_seats_that_the_other_process_has_given_out_are_taken() -> None:
+    old, new = Drive(), Drive()
+    for _ in range(2):
+        old.play("live", class_name="seated")
+    told = overlap.decode(overlap.encode(Phase.SERVING, known(old.controller))).known
+    seats_elsewhere(new.controller, [told])
+    assert not of(api.SetUp, new.ask("live", class_name="seated")[1])
+    assert of(api.SetUp, new.ask("other", class_name="seated")[1])
+    seats_elsewhere(new.controller, [])
+    assert of(api.SetUp, new.ask("live", class_name="seated")[1])
+
+
 def test_a_session_handed_over_is_not_counted_on_top_of_the_load_that_held_it() -> None:
     """Guards against a step down of those who play, each time a new version takes them over."""
     drive = Drive()
--- a/tests/test_operation_network.py
+++ b/tests/test_operation_network.py
@@ -8,10 +8,14 @@
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 
-from cloverhinge.lab.stand import WAIT_S, ChangeLog, Message, Program, Pump, Wire, answer, ask, site
+from cloverhinge.lab import stand
+from cloverhinge.lab.stand import WAIT_S, ChangeLog, Message, Program, Pump, Wire, answer, ask
+from tests import guards
 
+site = partial(stand.site, program=guards.program())
 FIGURES = {"ok", "shed", "errors", "tries"}
 
 
