Console and admin socket take and show the boxes left out by hand, from the same room

Need: the issue wants one owner for bans. The admin socket passes maint-on and maint-off to the same calls, the console shows who is left out.

--- a/cloverhinge/console.py
+++ b/cloverhinge/console.py
@@ -54,6 +54,8 @@
              f"ended {count['ended']}   cut {count['cut']}",
              f"attempts {count['attempts']}   probes {count['probes']}   "
              + "   ".join(f"{name} {n}" for name, n in sorted(count["outcomes"].items()))]
+    if left_out := told.get("operation", {}).get("left_out"):
+        lines.append("LEFT OUT BY HAND  " + "   ".join(plain(x, len(str(x))) for x in left_out))
     if told["broken"]:
         lines.append("DEFECTS  " + "   ".join(f"{name}: {n}" for name, n in told["broken"].items()))
     certificate = told["certificate"]
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -136,6 +136,8 @@
         if self.site.admin is not None:
             commands: dict[str, Callable[[str], dict[str, Any]]] = (
                 {} if self.custody is None else {"custody": self.custody.look})
+            if self.operation is not None:
+                commands |= self.operation.commands()
             admin = reactor.listenTCP(self.site.admin[1], Admin(self.status, commands),
                                       interface=self.site.admin[0])
             self.log.info("{name}: admin on 127.0.0.1:{port}", name=self.config.name,
--- a/cloverhinge/operation/part.py
+++ b/cloverhinge/operation/part.py
@@ -82,6 +82,13 @@
     def status(self) -> dict[str, Any]:
         return {"left_out": sorted(self.bans.out), "waits_for": self.waits_for, "processes": self.parts}
 
+    def commands(self) -> dict[str, Callable[[str], dict[str, Any]]]:
+        """The same calls for those who come to the admin socket."""
+        def call(word: str) -> Callable[[str], dict[str, Any]]:
+            return lambda about: {"answer": calls.answer(f"{word} {about}".encode(), self).strip()}
+
+        return {word: call(word) for word in ("maint-on", "maint-off")}
+
     # What calls ask and tell
 
     def figures(self) -> Figures:
--- a/tests/test_operation_network.py
+++ b/tests/test_operation_network.py
@@ -11,6 +11,7 @@
 from functools import partial
 from pathlib import Path
 
+from cloverhinge import console
 from cloverhinge.lab import stand
 from cloverhinge.lab.stand import WAIT_S, ChangeLog, Message, Program, Pump, Wire, answer, ask
 from tests import guards
@@ -182,6 +183,19 @@
         ended(new)
 
 
+def test_the_admin_socket_and_the_console_speak_to_the_same_bans(tmp_path: Path) -> None:
+    deploy = tmp_path / "site.toml"
+    deploy.write_text('[admin]\nlisten = "127.0.0.1:0"\n')
+    with site(tmp_path, operated=True, deploy=deploy) as (program, _, _log):
+        where = "127.0.0.1", int(program.wait_for(r"admin on 127\.0\.0\.1:(\d+)")[1])
+        assert console.ask(where, "maint-on s-00000000") == {"answer": "ACK"}
+        assert figures(program)["pool_ejected"] == 1
+        assert "LEFT OUT BY HAND  s-00000000" in console.render(console.fetch(where))
+        assert console.ask(where, "maint-off s-9")["answer"].startswith("NAK")
+        assert program.call("maint-off s-00000000") == ["ACK"]
+        assert console.fetch(where)["operation"]["left_out"] == []
+
+
 def test_a_descriptor_that_is_none_is_one_plain_sentence(tmp_path: Path) -> None:
     from cloverhinge import cli
 
