Sessions handed over at a start count in the first loads: no step down at a load of 0.56

Cause: the report is taken to describe a moment 0.4 s before, and rungs told after that moment (RungInForce) counted as growth on top of it (Limit.stood, decision/state.py). Now they count from the moment at which the first session was handed over.

--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -32,6 +32,8 @@
     stepped_us: int = 0  # the last step down or up made here
     booked: float = 0.0
     always: float = 0.0  # of it, what counts as booked at any time: told later than a load that held it
+    met: float = 0.0  # and from `met_us` on: handed over while no load had been told
+    met_us: int = 1 << 62
     granted_us: int = 0  # the last time that `raise_kb` came from a forecast
     raise_kb: float = 0.0  # what own sessions may still be raised by until the next report
     history: deque[tuple[int, float]] = field(default_factory=deque)  # (moment, the rest booked from then on)
@@ -41,17 +43,21 @@
         self.booked += amount
         if self.history and self.history[-1][0] == now_us:
             self.history.pop()
-        self.history.append((now_us, self.booked - self.always))
+        self.history.append((now_us, self.booked - self.always - self.met))
         oldest_us = max(self.described_us, now_us - HISTORY_US)  # loads may never be told
         while len(self.history) > 1 and self.history[1][0] <= oldest_us:
             self.history.popleft()
 
     def stood(self, now_us: int, amount: float) -> None:
-        """Book what has been there all along: a load told before it was booked holds it already."""
-        if self.load is None:
-            return self.book(now_us, amount)
+        """Book what has been there all along: a load told before it was booked holds it already, and one that
+        is told later and describes a moment since the first of them came.  The history is not walked, as
+        hundreds come together."""
         self.booked += amount
-        self.always += amount  # at once, as hundreds come together: the history is not walked
+        if self.load is None:
+            self.met_us = min(self.met_us, now_us)
+            self.met += amount
+        else:
+            self.always += amount
 
     def booked_at(self, moment_us: int) -> float:
         """Own bookings as they stood at a moment."""
@@ -60,7 +66,7 @@
             if since_us > moment_us:
                 break
             amount = booked
-        return amount + self.always
+        return amount + self.always + (self.met if moment_us >= self.met_us else 0.0)
 
     def grown(self, moment_us: int | None = None) -> float:
         """Own bookings made, less those ended, since the moment that `load` describes, as a load."""
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -254,6 +254,22 @@
     assert drive.controller.load_of(server.link) == pytest.approx(0.7) and server.link.booked == 400.0
 
 
+def test_a_first_report_that_is_older_than_the_last_word_of_a_hand_over_holds_all_of_it() -> None:
+    """Guards the first second after a start: half of the sessions stepped down at a load of 0.56."""
+    drive = Drive()
+    drive.ask(server=10)
+    link = drive.controller.fleet.servers[10].link
+    drive.tell(api.RungInForce(drive.next, 10, 2), 300_000)
+    drive.tell(api.AttemptEnded(99, 0, 10, api.Outcome.FULL, False, 1000, api.LoadReport(link=0.56)), 200_000)
+    assert link.described_us < drive.now - 300_000  # taken to describe a moment before its rung was told
+    assert drive.controller.load_of(link) == pytest.approx(0.56)
+    early = Drive()
+    early.ask(server=10)
+    early.tell(api.LinkNote(early.next, 10, 0.1), 100_000)
+    early.tell(api.LinkNote(early.next, 10, 0.1), 100_000)  # describes a second ago, when none was here
+    assert early.controller.load_of(early.controller.fleet.servers[10].link) == pytest.approx(0.2)
+
+
 def test_hundreds_handed_over_at_once_walk_no_history() -> None:
     """Guards the first second of a new version, which stood still for 1.2 s over a long history."""
     drive = Drive()
