--- a/cloverhinge/operation/bans.py
+++ b/cloverhinge/operation/bans.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from cloverhinge.operation.forms import read
+
 BANS_MOST = 1024  # boxes left out at a time: more than a router lists
 RECORDS_MOST = 2 * BANS_MOST  # those that ended included
 ENDED_KEPT_MS = 600_000.0  # an ended ban outlives any file of before by so much
@@ -94,12 +96,7 @@
 
 def decode(data: bytes) -> dict[str, Record]:
     """The records of a file.  ValueError, in one plain sentence, where it is none of ours."""
-    if len(data) > FILE_MOST:
-        raise ValueError(f"holds {len(data)} bytes, {FILE_MOST} at most")
-    try:
-        kept: Kept = msgspec.json.decode(data, type=Kept)
-    except msgspec.MsgspecError as error:
-        raise ValueError(f"is no file of bans: {error}") from None
+    kept = read(data, Kept, FILE_MOST, "file of bans")
     if len(kept.records) > RECORDS_MOST:
         raise ValueError(f"holds {len(kept.records)} records, {RECORDS_MOST} at most")
     for name, record in kept.records.items():
--- a/cloverhinge/operation/overlap.py
+++ b/cloverhinge/operation/overlap.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cloverhinge.decision.beside import Known
+from cloverhinge.operation.forms import read
 
 TOLD_MOST = 512 * 1024  # bytes of what a process tells
 PARTS_MOST = 2  # an old process and a new one; further ones wait their turn with the platform
@@ -34,13 +35,7 @@
 
 def decode(data: bytes) -> Told:
     """ValueError, in one plain sentence, where it is none of ours."""
-    if len(data) > TOLD_MOST:
-        raise ValueError(f"holds {len(data)} bytes, {TOLD_MOST} at most")
-    try:
-        told: Told = msgspec.json.decode(data, type=Told)
-    except msgspec.MsgspecError as error:
-        raise ValueError(f"is not what a router tells of itself: {error}") from None
-    return told
+    return read(data, Told, TOLD_MOST, "word of a router on itself")
 
 
 def parts(own: Phase, others: Iterable[Phase]) -> int:
