--- a/tests/test_operation_network.py
+++ b/tests/test_operation_network.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import copy
 import json
 import os
+import re
 import signal
 import socket
 from collections.abc import Iterator
@@ -11,6 +13,8 @@
 from functools import partial
 from pathlib import Path
 
+import pytest
+
 from cloverhinge import console
 from cloverhinge.lab import stand
 from cloverhinge.lab.stand import WAIT_S, ChangeLog, Message, Program, Pump, Wire, answer, ask
@@ -172,6 +176,56 @@
         assert played(viewer, 1).status == 200 and old.call("status") == ["ACK"]
 
 
+def test_a_new_process_that_never_says_yes_takes_nothing_from_the_old_one(tmp_path: Path) -> None:
+    with inherited(tmp_path) as (old, _, log):
+        log.serve = lambda wire: None  # type: ignore[method-assign]
+        new = copy.copy(old)
+        with pytest.raises(AssertionError):  # it waits for the list, and is stopped meanwhile
+            new.wait_for = lambda pattern: stopped(new, pattern)  # type: ignore[method-assign]
+            new._start()
+        viewers = [old.connect() for _ in range(10)]
+        for number, viewer in enumerate(viewers, 1):
+            assert played(viewer, number, f"title-{number}").status == 200
+        assert old.call("status") == ["ACK"] and figures(old)["ok.free"] == 10
+
+
+def stopped(new: Program, pattern: str) -> re.Match[str]:
+    """The first line that is waited for, then an end before the second."""
+    told = Program.wait_for(new, pattern)
+    new.mgmt = int(told[1])
+    assert new.call("status") == ["NAK starting"]
+    new.process.send_signal(signal.SIGSTOP)
+    raise AssertionError("stopped")
+
+
+def test_a_router_that_is_full_is_replaced_and_each_request_has_its_answer(tmp_path: Path) -> None:
+    """Load that all boxes refuse, on connections old and new, before and after the old one is told to end."""
+    def full(wire: Wire, message: Message) -> None:
+        wire.send("RTSP/1.0 453 Not Enough Bandwidth", message.session, X_Circuits="x0:1.6;x1:1.2")
+
+    with inherited(tmp_path, 2) as (old, pumps, _):
+        for pump in pumps:
+            pump.script, pump.load = full, "x0:1.6;x1:1.2"
+        number, new = 0, old
+        viewers = [old.connect() for _ in range(12)]
+        for turn in range(3):
+            for viewer in viewers:
+                number += 1
+                ask(viewer, number, title=f"title-{number % 5}")
+            if turn == 0:
+                new = old.successor()
+                assert new.call("status") == ["ACK"]
+            for viewer in viewers:
+                assert answer(viewer).status in (453, 503)
+            if turn == 1:
+                old.process.send_signal(signal.SIGTERM)
+                assert old.process.wait(WAIT_S) == 0
+                viewers = [new.connect() for _ in range(12)]
+        told = figures(new)
+        assert old.process.returncode == 0 and told["shed.free"] >= 12 and told["active"] == 0
+        ended(new)
+
+
 def test_a_new_process_hears_what_changed_since_its_configuration_before_it_says_yes(tmp_path: Path) -> None:
     with inherited(tmp_path) as (old, pumps, log):
         log.tell([pumps[0].row("left")])
