--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,6 @@
 test: .venv-dev/built-from.txt
 	.venv-dev/bin/ruff check cloverhinge tests example benchmarks
 	.venv-dev/bin/mypy
+	.venv-dev/bin/lint-imports --no-cache
 	.venv-dev/bin/python -m pytest -m "not herd"
 	.venv-dev/bin/python -m pytest -m herd -n 0
