--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -934,6 +934,8 @@
             work = msgspec.structs.replace(found, phase=Phase.DOOMED)
         else:
             work = register.taken_over(found, self.who, attempt.intent)
+            # Not acted on before it is won, whatever comes between: found again it is no failure.
+            attempt.wrote = attempt.wrote or work.owner == self.who and work.phase is Phase.INTENT
         attempt.found, attempt.work, attempt.stage = found, work, Stage.WRITE
         attempt.refusals = {}
         self._ask(now, attempt)
--- a/cloverhinge/decision/room.py
+++ b/cloverhinge/decision/room.py
@@ -10,7 +10,8 @@
 import math
 
 from cloverhinge.decision import interface as api
-from cloverhinge.decision.logic import MARK, STEP_GAIN, Controller
+from cloverhinge.decision.logic import Controller
+from cloverhinge.decision.rungs import MARK, STEP_GAIN
 from cloverhinge.decision.state import Server, Session, held
 
 
--- a/cloverhinge/lab/media.py
+++ b/cloverhinge/lab/media.py
@@ -45,6 +45,10 @@
     def noted(self, what: str, session: str, title: str = "") -> Event:
         return self.record.add(self.name, what, session=session, title=title)
 
+    def full(self) -> bool:
+        """Whether it turns set-ups away now."""
+        return False
+
     def set_up(self, session: str, title: str, kind: str) -> None:
         """In two steps, each of which a test may hold up: it is asked, and it stands."""
         self.record.add(self.name, "asked", session=session, title=title, kind=kind)
@@ -79,6 +83,9 @@
         threading.Thread(target=self._answer, args=(wire, message), daemon=True).start()
 
     def _answer(self, wire: Wire, message: Message) -> None:
+        if self.full():
+            wire.send("RTSP/1.0 453 Not Enough Bandwidth", message.session)
+            return
         self.set_up(message.session, message.start.split()[1].removeprefix("rtsp://media/"),
                     message.headers.get("x-call-class", ""))
         with suppress(OSError):  # the router may be gone
@@ -106,6 +113,35 @@
         self.web.server_close()
 
 
+class Limited(MediaBox):
+    """So many places, sessions of one length, and a load that says so."""
+
+    def __init__(self, name: str, cell: int, places: int, life_s: float) -> None:
+        self.places, self.life_s = places, life_s
+        super().__init__(name, cell)
+
+    @property
+    def load(self) -> str:
+        return f"x0:{len(self.sessions) / self.places:.2f};x1:0.1"
+
+    @load.setter
+    def load(self, told: str) -> None:
+        """Its sessions say it."""
+
+    def full(self) -> bool:
+        return len(self.sessions) >= self.places
+
+    def set_up(self, session: str, title: str, kind: str) -> None:
+        super().set_up(session, title, kind)
+        ends = threading.Timer(self.life_s, self._over, (session,))
+        ends.daemon = True
+        ends.start()
+
+    def _over(self, session: str) -> None:
+        if session in self.sessions:
+            self.end(session)
+
+
 class _Server(ThreadingHTTPServer):
     request_queue_size = 64
 
@@ -127,6 +163,9 @@
         def do_PUT(self) -> None:
             told = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
             name = self.path.split("/")[2]
+            if box.full():
+                self.answer(503)
+                return
             box.set_up(name, told["title"], told["class"])
             self.answer(200, MASTER.format(name))
 
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cloverhinge.custody import place, register
-from cloverhinge.custody.model import Rules, Verdict
+from cloverhinge.custody.model import Rules, Stage, Verdict
 from cloverhinge.custody.register import EMPTY, Accepted, Denied, Phase, Slot, Work
 from cloverhinge.custody.wire import Hole, Member
 from cloverhinge.emulator.disks import Disk
@@ -228,6 +228,26 @@
     assert len(made.session("p0").sent) == 1 and made.owners("p0") == ["r002"]
 
 
+def test_an_intent_that_was_written_and_not_acted_on_is_no_failure_after_a_change_of_rosters() -> None:
+    """It had to be asked for, as a keeper is away; the roster changes when one has taken it."""
+    made = world(5)
+    asker = made.keepers[0]
+    keepers = asker.custody.keepers("p0")
+    away = next(x for x in made.keepers if x.custody.who in keepers and x is not asker)
+    made.net.cut([away.address], [asker.address])
+    fetch = asker.fetch("p0")
+    begun = made.net.now
+    while (attempt := asker.custody.tries.get("p0")) is None or attempt.stage is not Stage.WRITE:
+        made.net.run(0.1)
+        assert made.net.now - begun < 1000.0
+    attempt.wrote = False  # as where the claim was asked for from the start
+    asker.custody._decide(made.net.now, attempt, None, False)
+    made.net.run(0.3)
+    attempt.stage, attempt.next_ms, attempt.claims = Stage.WAIT, made.net.now, False
+    made.net.run(1000.0)
+    assert fetch.answer == "200" and not made.broken()
+
+
 def test_keepers_are_on_other_sites_first_and_spread() -> None:
     members = tuple(Member(f"r{n}", n, f"s{n % 3}") for n in range(9))
     sites = {x.who: x.site for x in members}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,8 @@
 
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.interface import Outcome
-from cloverhinge.decision.logic import RAISE_MARK, Controller
+from cloverhinge.decision.logic import Controller
+from cloverhinge.decision.rungs import RAISE_MARK
 from cloverhinge.decision.state import Limit
 from tests.helpers import Drive, of, sent, settings
 
