Store: what a newer version wrote is never taken for damage, and no error of a disk ends a start

Read again: a head with fields added by a later version failed to decode and counted as damaged, so its folder would have been emptied; rows of an unknown form and an OSError while opening escaped and ended the program. Cause: msgspec's errors are no ValueError, Folder.open caught sqlite's alone.

--- a/cloverhinge/store/folder.py
+++ b/cloverhinge/store/folder.py
@@ -61,7 +61,7 @@
             raise Unusable(f"{self.path} is in use by another process") from None
         try:
             return self._read()
-        except apsw.Error as error:
+        except (apsw.Error, OSError) as error:
             self.close()
             raise Unusable(f"{self.path} can't be written: {error}") from None
         except Unusable:
--- a/cloverhinge/store/rows.py
+++ b/cloverhinge/store/rows.py
@@ -20,8 +20,9 @@
 Rows = Mapping[str, bytes | None]  # what is put, or (None) taken away
 
 
-class Head(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
-    """Of the whole folder, written with each commit."""
+class Head(msgspec.Struct, array_like=True, frozen=True):
+    """Of the whole folder, written with each commit.  What a later version adds is passed over, so that its
+    format is seen."""
 
     format: Annotated[int, Meta(ge=1)]
     owner: Annotated[str, Meta(max_length=KEY_MOST)]
@@ -86,4 +87,7 @@
     body, sum = told[:-8], told[-8:]
     if check("", body).to_bytes(8, "big") != sum:
         raise ValueError("its head is damaged")
-    return msgspec.msgpack.decode(body, type=Head)
+    try:
+        return msgspec.msgpack.decode(body, type=Head)
+    except msgspec.MsgspecError as error:
+        raise ValueError(f"its head can't be read: {error}") from None
