Store read again: one rule for what a word rests on, rows hashed once at an opening

Seen on reading the whole change: recall.py worked out the barrier twice, and the form that says from when others may count on this router's votes left out a roster row still to be written; opening a folder hashed every row twice; two loops in custody/core.py emptied the keeper. Now holds() and core share barrier(votes), which is the stricter of the two, Folder keeps the checks that it sums, Keeper has forget_all.

--- a/cloverhinge/custody/core.py
+++ b/cloverhinge/custody/core.py
@@ -545,7 +545,7 @@
             self._to(to, item)
         if self.rosters.active and self._votes_in != self._roster:
             self._votes_in = self._roster
-            self._votes_from = 0 if self.recall is None else self.recall.barrier
+            self._votes_from = 0 if self.recall is None else self.recall.barrier(self.rosters.votes)
             self._out.append(Say(f"votes in roster {self.rosters.number}"))
         if self.rosters.stuck != self._stuck:
             self._stuck = self.rosters.stuck
@@ -582,8 +582,7 @@
                 and self.peers[who].active:
             # Its own majority is gone for good, and others have begun anew: it joins them.
             self._out.append(Say("joins routers that began anew: what this one kept is void"))
-            for id in list(self.keeper.slots):
-                self.keeper.forget(id)
+            self.keeper.forget_all()
             self._enter(now, roster)
             for one in self.held.values():
                 self._keep(now, one)
@@ -600,8 +599,7 @@
         self.keeper.enter(roster.number)
         if self._unjoined and not self.rosters.tells:
             # The others have gone on without it: what they have let lapse since must not come back.
-            for id in list(self.keeper.slots):
-                self.keeper.forget(id)
+            self.keeper.forget_all()
         self._unjoined = False
         self._tells.clear()
         self._parts.clear()
--- a/cloverhinge/custody/keeper.py
+++ b/cloverhinge/custody/keeper.py
@@ -116,6 +116,10 @@
         if (lapses := self._lapses.pop(id, None)) is not None:
             del self._lapsing[lapses, id]
 
+    def forget_all(self) -> None:
+        for id in list(self.slots):
+            self.forget(id)
+
     def lapse(self, now: float) -> None:
         """Answers and promises that have been kept for long enough; leases long over."""
         while self._lapsing and self._lapsing.peekitem(0)[0][0] <= now:
--- a/cloverhinge/custody/recall.py
+++ b/cloverhinge/custody/recall.py
@@ -169,10 +169,10 @@
 
     # What waits for the disk
 
-    @property
-    def barrier(self) -> int:
+    def barrier(self, votes: Votes) -> int:
         """What is said now rests on rows up to this number."""
-        return self.last + (1 if self.changed or self._void else 0)
+        waiting = self.changed or self._void or not self._lives_told or votes != self.votes
+        return self.last + 1 if waiting else self.last
 
     def holds(self, who: str, item: wire.Items, soon: bool, votes: Votes) -> bool:
         """Whether this has to wait; it is given back by `durable`.  What a router that is out should bind
@@ -181,8 +181,7 @@
             return False
         if self.stands is Stands.OUT:
             return True
-        waiting = self.changed or self._void or not self._lives_told or votes != self.votes
-        barrier = self.last + 1 if waiting else self.last
+        barrier = self.barrier(votes)
         if barrier <= self.safe:
             return False
         if len(self._held) < HELD_MOST:  # else it is asked for again
--- a/cloverhinge/store/folder.py
+++ b/cloverhinge/store/folder.py
@@ -79,14 +79,14 @@
             if told:
                 head = self._believed(form.decode(told[0][0]))
                 rows = dict(self._rows("select key, value from kept"))
-                if len(rows) != head.rows or form.total(rows.items()) != head.sum:
+                self._checks = form.checks(rows.items())
+                if len(rows) != head.rows or form.total(self._checks.values()) != head.sum:
                     raise ValueError("rows are missing or damaged")
         except (ValueError, apsw.CorruptError, apsw.NotADBError, apsw.SQLError) as error:
             void, head = f"{self.path} is damaged and void: {error}", None
         if head is None:
             return Contents(NO_MARK, self._anew(NO_MARK), {}, void)
         claim = head.mark
-        self._checks = {key: form.check(key, value) for key, value in rows.items()}
         self._head = msgspec.structs.replace(head, generation=head.generation + 1)
         self.commit({})
         return Contents(claim, self._head.mark, rows, "")
--- a/cloverhinge/store/rows.py
+++ b/cloverhinge/store/rows.py
@@ -42,17 +42,19 @@
     return int.from_bytes(digest, "big") % SUM
 
 
-def total(rows: Iterable[tuple[object, object]]) -> int:
-    """The sum over all, whatever their order: a row that is missing or there twice changes it.
-
-    Raises ValueError for what is no row.
-    """
-    amount = 0
+def checks(rows: Iterable[tuple[object, object]]) -> dict[str, int]:
+    """Of each row by its key.  Raises ValueError for what is no row."""
+    found: dict[str, int] = {}
     for key, value in rows:
         if not isinstance(key, str) or not isinstance(value, bytes):
             raise ValueError("a row is damaged")
-        amount += check(key, value)
-    return amount % SUM
+        found[key] = check(key, value)
+    return found
+
+
+def total(checks: Iterable[int]) -> int:
+    """The sum over all rows, whatever their order: one that is missing or there twice changes it."""
+    return sum(checks) % SUM
 
 
 def changed(head: Head, held: Mapping[str, int], rows: Rows) -> tuple[Head, dict[str, int | None]]:
--- a/tests/store_guards.py
+++ b/tests/store_guards.py
@@ -35,7 +35,7 @@
 
 
 def no_sum() -> None:
-    form.total = lambda rows: 0
+    form.total = lambda checks: 0
     form.changed = _unsummed(form.changed)
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -308,5 +308,5 @@
             else:
                 held[key] = value
         checks = {x: y for x, y in {**checks, **after}.items() if y is not None}
-        assert head.sum == form.total(held.items()) and head.rows == len(held)
+        assert head.sum == form.total(form.checks(held.items()).values()) and head.rows == len(held)
     assert form.decode(form.encode(head)) == head
