No attempt for a client that has gone, and no close over a request that has come

Seen with the process stopped by a signal while events arrived, so that it found them in the bad order: a set-up whose client had closed, reset or cancelled before it was read was sent on; so was a further attempt where the refusal of the first lay ahead of the client's end. Making room for a newcomer and the limit on silence closed connections over a whole request that lay unread (timers run ahead of the sockets after a pause). Ruled out: ViewerLeft comes too late once the end is read (it is handled in the same turn).

Cause: `set_up` was called for each message of an input before the cancellation behind it was parsed, and `may_write` asked nothing of the client. `Front.up` and `_sweep` closed without a look at the socket.

Change: set-ups of one input start after all of it is read; right before an attempt is written the client's connection is looked at (Viewer.presence): gone ends the request, unread input is read first for 20 ms at most. HLS: no attempt begins once no fetch that waits has its player. Connections with unread input are not closed for room or silence.

--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -14,7 +14,7 @@
 
 from cloverhinge.core.clock import ManualClock
 from cloverhinge.core.deadlines import Deadlines
-from cloverhinge.core.model import Ask, Attempt, Cause, Request, State
+from cloverhinge.core.model import Ask, Attempt, Cause, Presence, Request, State
 from cloverhinge.core.router import Router
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.interface import Outcome
@@ -105,6 +105,11 @@
     def released(self, cause: Cause) -> None:
         pass
 
+    def presence(self) -> Presence:
+        return Presence.THERE
+
+    def left(self, may_have_run: bool) -> None: ...
+
     def moved(self) -> None:
         pass
 
--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -38,6 +38,14 @@
     OVER = "over"
 
 
+class Presence(Enum):
+    """What is known of a client at the moment at which an attempt for it would leave."""
+
+    THERE = "there"
+    UNREAD = "unread"  # it has sent something that has not been read, which may be a cancellation
+    GONE = "gone"  # it has closed its connection
+
+
 class Cause(Enum):
     """Why a session that stood is over."""
 
@@ -88,6 +96,7 @@
     until_ms: float
     written: bool = False  # its first byte has been handed to the network
     sending: bool = False  # its way is asking whether it may be written, and ends it itself
+    held_back_ms: float | None = None  # kept from the network since then, until its client has been read
     deadline: Key | None = None
 
 
@@ -137,6 +146,12 @@
 class Viewer(Protocol):
     """Towards whoever asked.  Exactly one of the first three is called, unless the viewer has left."""
 
+    def presence(self) -> Presence:
+        """Whether the client is still there, as its connection shows at this moment."""
+
+    def left(self, may_have_run: bool) -> None:
+        """The core found it gone and has ended its request; whether an attempt for it may have run."""
+
     def served(self, answer: bytes) -> None: ...
     def refused(self, hold_off_ms: float, ticket: str = "") -> None: ...
     def failed(self, why: Outcome | None) -> None: ...
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -24,6 +24,7 @@
     Custody,
     Door,
     LeftOut,
+    Presence,
     Prober,
     Request,
     State,
@@ -38,6 +39,8 @@
 ANSWER_MARGIN_MS = 60.0  # an answer is on its way so long before the viewer stops waiting
 GUARD_MARGIN_MS = 25.0  # and whatever happens, so long before
 UNKEPT_MS = 1000.0  # told to one whose intent could not be kept: a lost router's part is taken over by then
+UNREAD_MS = 20.0  # a client's unread input is read first for so long; a fifth of the time that counts
+UNREAD_PACE_MS = 1.0  # pace at which it is looked at again
 GIVE_UP_MS = 8.0  # a box hears so soon that an attempt is given up; only then may another one go out
 CAUSES = {Outcome.SERVED: Cause.ENDED, Outcome.RESET: Cause.CUT, Outcome.CANCELLED: Cause.CANCELLED}
 
@@ -176,7 +179,7 @@
         if request.state is State.OPEN:
             self.counters.left += 1
             attempt = request.attempt
-            if attempt is not None:
+            if attempt is not None and not attempt.sending:
                 self._withdraw(attempt)
             self._conclude(request)
             self.tell(api.ViewerLeft(request.handle))
@@ -209,8 +212,8 @@
             self.custody.intend(attempt)
 
     def send(self, attempt: Attempt) -> None:
-        """Custody has what it wants; the request may be concluded by now."""
-        if attempt.request.attempt is attempt:
+        """Custody has what it wants, or the client has been read; the request may be concluded by now."""
+        if attempt.request.attempt is attempt and not attempt.written:
             attempt.request.boxes.set_up(attempt)
 
     def unkept(self, request: Request, failed: bool = False) -> None:
@@ -284,6 +287,8 @@
         if not self.sendable(attempt.server):
             self.attempt_ended(attempt, Outcome.MOOT)
             return False
+        if not self._client_waits(attempt):
+            return False
         if self.custody is not None and not self.custody.may_write(attempt):
             attempt.sending = True
             self.unkept(attempt.request)
@@ -292,6 +297,24 @@
         attempt.request.tally.tries += 1
         return True
 
+    def _client_waits(self, attempt: Attempt) -> bool:
+        """Guards against attempts for clients that have gone: the word of it may lie unread behind what has
+        brought the attempt about.  Input that is unread is read first, for a bounded time."""
+        request, now = attempt.request, self.clock.now()
+        match request.viewer.presence():
+            case Presence.GONE:
+                ran, attempt.sending = request.may_have_run, True
+                self.leave(request)
+                request.viewer.left(ran)
+                return False
+            case Presence.UNREAD:
+                if attempt.held_back_ms is None:
+                    attempt.held_back_ms = now
+                if now - attempt.held_back_ms < UNREAD_MS:
+                    self.deadlines.after(UNREAD_PACE_MS, lambda: self.send(attempt))
+                    return False
+        return True
+
     def _timed_out(self, attempt: Attempt) -> None:
         """Guards one attempt out at a time: the give-up and the next set-up travel on two connections, and
         the set-up could arrive first."""
--- a/cloverhinge/hls/front.py
+++ b/cloverhinge/hls/front.py
@@ -12,6 +12,7 @@
 import math
 import re
 import secrets
+import select
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
@@ -56,6 +57,15 @@
         super().process()  # type: ignore[no-untyped-call]
 
 
+def connected(request: Any) -> bool:
+    """Whether the player of a fetch has its connection open, also where its end lies behind unread input."""
+    if request._disconnected or request.channel is None:
+        return False
+    ended = select.poll()
+    ended.register(request.channel.transport.getHandle().fileno(), select.POLLRDHUP)
+    return not ended.poll(0)
+
+
 class Watched(ProtocolWrapper):
     """Guards against players that say nothing, or a request byte by byte: no byte renews the time."""
 
@@ -155,7 +165,7 @@
                 case ["play", class_name, title]:
                     return await self._play(request, class_name, title)
                 case ["session", token, number, name]:
-                    return 200, await self._playlist(token, number, name), manifests.CONTENT_TYPE, {}
+                    return 200, await self._playlist(request, token, number, name), manifests.CONTENT_TYPE, {}
                 case [".well-known", "acme-challenge", token]:
                     if (proof := self.challenge(token)) is not None:
                         return 200, proof, "application/octet-stream", {}
@@ -197,7 +207,7 @@
         play = self.plays.find(key, class_name, title_name, title)
         play.peer, play.client, play.ticket = peer, client, words[2]
         self.plays.touch(play)
-        return 200, await self._session(play, None), manifests.CONTENT_TYPE, {}
+        return 200, await self._session(play, None, request), manifests.CONTENT_TYPE, {}
 
     @staticmethod
     def _words(request: Any, *names: str) -> list[str]:
@@ -208,7 +218,7 @@
     def sign(self, token: str, number: int) -> str:
         return hmac.new(self.site.key, f"{token}/{number}".encode(), hashlib.sha256).hexdigest()[:32]
 
-    async def _playlist(self, token: str, number: str, name: str) -> str:
+    async def _playlist(self, request: Any, token: str, number: str, name: str) -> str:
         if not re.fullmatch(r"[0-9]{1,3}", number) or not name.endswith(".m3u8"):
             raise Final(404, "nothing is here")
         if not hmac.compare_digest(name.removesuffix(".m3u8"), self.sign(token, int(number))):
@@ -219,13 +229,13 @@
         if play is None:
             raise Final(410, "this session is over")
         self.plays.touch(play)
-        return await self._session(play, int(number))
+        return await self._session(play, int(number), request)
 
-    async def _session(self, play: Play, number: int | None) -> str:
+    async def _session(self, play: Play, number: int | None, fetch: Any) -> str:
         """The play's manifest, or its n-th media playlist, rendered from the list of boxes as it is now."""
         for _ in range(2):
             try:
-                request = await self.plays.stand(play)
+                request = await self.plays.stand(play, lambda: connected(fetch))
                 server, base = request.server or 0, self.boxes.base(request.server or 0) or ""
                 url = f"{base}sessions/{request.ask.name}"
                 if play.fresh is not None:
--- a/cloverhinge/hls/plays.py
+++ b/cloverhinge/hls/plays.py
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred
 
 from cloverhinge.core.deadlines import Deadlines, Key
-from cloverhinge.core.model import Ask, Boxes, Cause, Request, State
+from cloverhinge.core.model import Ask, Boxes, Cause, Presence, Request, State
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import Table
 from cloverhinge.decision.interface import Effect, Outcome
@@ -38,6 +38,14 @@
     """The play has ended: its playlist ends."""
 
 
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """A fetch that waits for a set-up, and whether its player is still connected."""
+
+    connected: Callable[[], bool]
+    done: Deferred[None] = field(default_factory=Deferred)
+
+
 @dataclass(eq=False)
 class Play:
     key: str
@@ -56,16 +64,16 @@
     media: manifests.Manifest | None = None  # the last media playlist
     verdict: Final | None = None  # of a paid set-up that may have run: it stays
     over: bool = False
-    waiters: list[Deferred[None]] = field(default_factory=list)
+    waiters: list[Waiter] = field(default_factory=list)
     expiry: Key | None = None
 
     def wake(self, error: Exception | None = None) -> None:
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
             if error is None:
-                waiter.callback(None)
+                waiter.done.callback(None)
             else:
-                waiter.errback(error)
+                waiter.done.errback(error)
 
 
 class PlayViewer:
@@ -74,6 +82,18 @@
     def __init__(self, plays: Plays, play: Play) -> None:
         self.plays, self.play = plays, play
         self.final: Exception | None = None
+        self.awaited = False  # the fetch that started the set-up waits for it
+
+    def presence(self) -> Presence:
+        """There while one of the fetches that wait has its player; later ones join the set-up."""
+        waits = not self.awaited or any(waiter.connected() for waiter in self.play.waiters)
+        return Presence.THERE if waits else Presence.GONE
+
+    def left(self, may_have_run: bool) -> None:
+        final = Final(502, "the set-up failed while nobody waited for it")
+        if self.play.paid and may_have_run:
+            self.play.verdict = final
+        self._unserved(final)
 
     def served(self, answer: bytes) -> None:
         self.play.fresh = answer
@@ -169,8 +189,11 @@
         if self.custody is not None:
             self.custody.forgot(play)
 
-    async def stand(self, play: Play) -> Request:
-        """The session that stands for this play, at a box that may be named; set up where it may be."""
+    async def stand(self, play: Play, connected: Callable[[], bool] = lambda: True) -> Request:
+        """The session that stands for this play, at a box that may be named; set up where it may be.
+
+        No attempt at a set-up begins once no fetch that waits for it is `connected`.
+        """
         for _ in range(3):  # what was set up may have to be set up elsewhere once
             if self.custody is not None and self.by_key.get(play.key) is not play:
                 raise Final(503, "another router has this play now", BUSY_MS)
@@ -201,9 +224,11 @@
             if play.request is not None and play.request.state is State.OPEN:
                 if len(play.waiters) >= WAITERS_MOST:
                     raise Final(503, "too many fetches wait for this set-up", BUSY_MS)
-                waiter: Deferred[None] = Deferred()
+                waiter = Waiter(connected)
                 play.waiters.append(waiter)
-                await waiter
+                if isinstance(play.request.viewer, PlayViewer):
+                    play.request.viewer.awaited = True
+                await waiter.done
         if play.request is not None and play.request.state is State.STANDS and not play.over:
             return play.request
         raise Final(503, "the session was lost while it was set up", BUSY_MS)
--- a/cloverhinge/lab/stand.py
+++ b/cloverhinge/lab/stand.py
@@ -268,12 +268,21 @@
 
     def connect(self) -> Wire:
         sock = socket.create_connection(("127.0.0.1", self.port), timeout=WAIT_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what is written is there at once
         return Wire(sock)
 
     def reload(self, text: str) -> None:
         self.config.write_text(text)
         self.process.send_signal(signal.SIGHUP)
 
+    def pause(self) -> None:
+        """Returns once the process stands still: what comes now is found all at once by `go_on`."""
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED)
+
+    def go_on(self) -> None:
+        self.process.send_signal(signal.SIGCONT)
+
     def end(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(WAIT_S)
--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
+from itertools import islice
 from typing import Any
 
 from twisted.internet.interfaces import IAddress
@@ -15,7 +16,7 @@
 
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.deadlines import Deadlines
-from cloverhinge.core.model import Ask, Boxes, Cause, Request, State
+from cloverhinge.core.model import Ask, Boxes, Cause, Presence, Request, State
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import Table
 from cloverhinge.decision.interface import Outcome
@@ -25,6 +26,7 @@
 SWEEP_MS = 250.0
 SILENT_MS = 2500.0  # a connection that has brought no whole message so long after it was taken is closed
 PARTIAL_MS = 2000.0  # so is one whose message is not whole so long after its first byte
+LOOKED_AT_MOST = 16  # connections of a rank that are looked at to make room for one
 CLOSING_SHARE = 1 / 3  # of the table's size: connections on their way out, beside a full table
 YOUNG_MS = 200.0  # a connection's first set-up is on its way for so long
 CROSSING_MS = 100.0  # what crosses the announced end of a connection is here so soon
@@ -33,6 +35,11 @@
 BUSY_HOLD_OFF_MS = 1000.0  # told where every slot for requests is taken
 
 
+def hands_over(message: rtsp.Message) -> bool:
+    """Whether a set-up tells of a session that plays already."""
+    return "at" in rtsp.pairs(message.headers.get("x-dest", ""))
+
+
 def read_ask(message: rtsp.Message) -> tuple[Ask, str]:
     """The request, and the id of the pump that it plays at already ('' = none)."""
     if not rtsp.SESSION.fullmatch(message.session):
@@ -65,6 +72,7 @@
         self.handle = 0
         self.rank: dict[int, ViewerLine] = front.silent
         self.open: dict[str, Request] = {}  # set-ups that are owed an answer here
+        self.asked: list[rtsp.Message] = []  # set-ups of the input being read
         self.standing = 0  # sessions that were set up on it
         self.spoken = False  # a whole message has come
         self.since_ms = 0.0  # the connection's start
@@ -82,14 +90,36 @@
             self.partial_ms = None
         elif self.partial_ms is None:
             self.partial_ms = self.front.clock.now()
+        self._set_up_all()
 
-    def unread(self) -> bool:
-        """Something lies in the socket that has not been read."""
+    def _set_up_all(self) -> None:
+        """Guards against attempts for a set-up whose cancellation came in the same piece of input."""
+        asked, self.asked = self.asked, []
+        for message in asked:
+            if self.gone:
+                return
+            try:
+                self.front.set_up(self, message)
+            except rtsp.Malformed as error:
+                self.malformed(error, message)
+
+    def presence(self) -> Presence:
+        """What the connection shows of its client now, without reading from it."""
+        if self.gone:
+            return Presence.GONE
         transport: Any = self.transport
         try:
-            return bool(transport.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+            unread = transport.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return Presence.THERE
         except OSError:
-            return False
+            return Presence.GONE
+        return Presence.UNREAD if unread else Presence.GONE
+
+    @property
+    def unread(self) -> bool:
+        """Something lies in the socket that has not been read."""
+        return self.presence() is Presence.UNREAD
 
     def half_close(self) -> None:
         """Nothing more is written; what comes is read until the viewer closes too."""
@@ -113,8 +143,12 @@
         if message.status or self.ending_ms is not None:
             return  # a viewer heard a release, or sends anew what crosses the connection's end
         if message.method == "SETUP":
-            self.front.set_up(self, message)
+            if hands_over(message):  # it plays already, so its end has to reach the server whatever follows
+                self.front.set_up(self, message)
+            else:
+                self.asked.append(message)
         elif message.method == "TEARDOWN":
+            self.asked = [one for one in self.asked if one.session != name]
             self.send(rtsp.response(200, cseq, name))
             request = self.front.router.by_name.get(name)
             if request is not None and isinstance(request.viewer, RtspViewer):
@@ -146,6 +180,13 @@
             self.front.arrange(line)
         return line
 
+    def presence(self) -> Presence:
+        line = self.front.lines.get(self.handle)
+        return Presence.GONE if line is None else line.presence()
+
+    def left(self, may_have_run: bool) -> None:
+        self.line_done()
+
     def stands(self, now: bool) -> None:
         line = self.front.lines.get(self.handle)
         if line is not None and now != self.standing:
@@ -216,18 +257,25 @@
     def up(self, line: ViewerLine) -> None:
         self.connections += 1
         line.since_ms = line.heard_ms = self.clock.now()
-        if self.lines.full:
-            # Guards the descriptors, and usual viewers against floods.
-            idle = next((x for x in (self.silent, self.resting, self.holding) if x), None)
-            if idle is None:
-                line.drop()
-                return
-            first = next(iter(idle.values()))
-            self.take_out(first)
-            first.close()
+        if self.lines.full and not self._make_room():
+            line.drop()
+            return
         line.handle = self.lines.put(line)
         self.silent[line.handle] = line
 
+    def _make_room(self) -> bool:
+        """Close the connection that has rested the longest, unless a request may lie unread on it.
+
+        Guards the descriptors, and usual viewers against floods.
+        """
+        for rank in (self.silent, self.resting, self.holding):
+            for line in islice(rank.values(), LOOKED_AT_MOST):
+                if not line.unread:
+                    self.take_out(line)
+                    line.close()
+                    return True
+        return False
+
     def arrange(self, line: ViewerLine) -> None:
         """Behind all others of the rank that is its now."""
         if line.handle and line.rank.pop(line.handle, None) is not None:
@@ -304,7 +352,7 @@
                 continue
             left += 1
             young = not line.spoken and now - line.since_ms < YOUNG_MS
-            if not line.open and not young and not line.midway and not line.unread():
+            if not line.open and not young and not line.midway and not line.unread:
                 line.ending_ms = now
                 line.half_close()
         return left
@@ -332,6 +380,7 @@
         while self.held and now - self.held[0][0] > HELD_MS:
             self.held.popleft()
         for line in self.lines:
-            if line.overdue(now):
+            # Guards against closing over a whole request after a pause, as timers run ahead of the sockets.
+            if line.overdue(now) and not line.unread:
                 line.close()
         self.deadlines.after(SWEEP_MS, self._sweep)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,7 +10,7 @@
 from cloverhinge.core import invariants
 from cloverhinge.core.clock import ManualClock, to_ms, to_us
 from cloverhinge.core.deadlines import Deadlines
-from cloverhinge.core.model import Ask, Attempt, Cause, Request, State
+from cloverhinge.core.model import Ask, Attempt, Cause, Presence, Request, State
 from cloverhinge.core.router import ANSWER_MARGIN_MS, GIVE_UP_MS, Router
 from cloverhinge.core.slots import Table
 from cloverhinge.decision import interface as api
@@ -140,6 +140,11 @@
     def released(self, cause: Cause) -> None:
         self.told.append(("released", cause))
 
+    def presence(self) -> Presence:
+        return Presence.THERE
+
+    def left(self, may_have_run: bool) -> None: ...
+
     def moved(self) -> None:
         self.told.append(("moved",))
 
--- a/tests/test_hls.py
+++ b/tests/test_hls.py
@@ -284,3 +284,24 @@
         assert resting.getresponse().status == 404
         for link in (silent, slow, resting):
             link.close()
+
+
+@pytest.mark.parametrize("class_name", ["free", "paid"])
+def test_no_further_attempt_begins_once_all_players_have_gone(tmp_path: Path, class_name: str) -> None:
+    """The box's refusal and the end of the player's connection are found together."""
+    with hls_site(tmp_path) as (program, player, boxes, _log):
+        for box in boxes:
+            box.status = 503
+            box.go.clear()
+        link = http.client.HTTPConnection("127.0.0.1", player.port, timeout=WAIT_S)
+        link.request("GET", f"/play/{class_name}/intro?play=attempt-1")
+        boxes[0].arrived.get(timeout=WAIT_S)
+        program.pause()
+        for box in boxes:
+            box.go.set()
+        link.close()
+        program.go_on()
+        assert player.get(f"/play/{class_name}/other?play=attempt-2")[0] == 503
+        assert [put["title"] for box in boxes for put in box.puts].count("intro") == 1
+        # Nothing of it ran, so it may be tried again; its boxes said that they are full, so it is refused.
+        assert player.get(f"/play/{class_name}/intro?play=attempt-1")[0] == 503
--- /dev/null
+++ b/tests/test_idle_connections.py
@@ -0,0 +1,50 @@
+"""Connections of clients are closed for want of room or for silence, never over a request that has come."""
+
+from __future__ import annotations
+
+import select
+from pathlib import Path
+
+from cloverhinge.lab.stand import Wire, answer, ask, site
+
+OVERDUE_S = 3.2  # longer than any limit on silent clients
+TABLE = 24  # connections that a program of 64 descriptors holds
+
+
+def rest(client: Wire) -> None:
+    client.send("OPTIONS rtsp://media/ping RTSP/1.0", "00000000000000aa", 3)
+    assert answer(client).status == 200
+
+
+def test_a_request_that_came_while_the_process_stood_outlives_the_limit_on_silence(tmp_path: Path) -> None:
+    """Guards against timers that run ahead of the sockets after a pause."""
+    with site(tmp_path, 1) as (program, _, _log):
+        silent, midway, watcher = (program.connect() for _ in range(3))
+        rest(watcher)
+        midway.sock.sendall(b"SETUP rtsp://media/7f3a")
+        rest(watcher)
+        program.pause()
+        ask(silent, 1, wait_ms=9000)
+        midway.sock.sendall(
+            b"9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: 0000000000000002\r\nX-Call-Class: free\r\n"
+            b"X-Ring-Limit: 9000\r\nX-Dest: home:0;copies:3;top:1;viewer:00000000b4d65521\r\n"
+            b"Content-Length: 0\r\n\r\n")
+        select.select([watcher.sock], [], [], OVERDUE_S)  # nothing comes: the limits pass meanwhile
+        program.go_on()
+        assert answer(silent).status == 200
+        assert answer(midway).status == 200
+
+
+def test_who_has_sent_a_request_does_not_make_room_for_a_newcomer(tmp_path: Path) -> None:
+    """The newcomer's connection is taken before the other's request is read."""
+    with site(tmp_path, 1, sockets=64) as (program, _, _log):
+        clients = [program.connect() for _ in range(TABLE)]
+        for client in clients:
+            rest(client)
+        program.pause()
+        newcomer = program.connect()
+        ask(clients[0], 1)  # it has rested the longest
+        ask(newcomer, 2)
+        program.go_on()
+        assert answer(clients[0]).status == 200
+        assert answer(newcomer).status == 200
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from cloverhinge.core.clock import to_us
-from cloverhinge.core.model import Ask, Cause, Request, State
+from cloverhinge.core.model import Ask, Cause, Presence, Request, State
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.beside import known, seats_elsewhere, share, take_over
 from cloverhinge.decision.interface import Outcome
@@ -115,6 +115,11 @@
         self.told.append("errors")
 
     def released(self, cause: Cause) -> None: ...
+    def presence(self) -> Presence:
+        return Presence.THERE
+
+    def left(self, may_have_run: bool) -> None: ...
+
     def moved(self) -> None: ...
 
 
--- a/tests/test_rtsp.py
+++ b/tests/test_rtsp.py
@@ -17,7 +17,16 @@
 ANSWER = b"RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: 9b1f03aa5c7e2d41\r\nContent-Length: 0\r\n\r\n"
 
 
+class Empty:
+    """A socket in which nothing lies."""
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        raise BlockingIOError
+
+
 class Transport(StringTransport):
+    socket = Empty()
+
     def setTcpNoDelay(self, enabled: bool) -> None:
         pass
 
