Shutdown in explicit phases: what is taken after the last look is answered before the exit

Seen with the process stopped while its time to accept after SIGTERM ran out: on going on, its timer closed the listener over connections in the queue (reset), and found nothing open; a request that was then read from an open connection was taken and the process ended 150 ms later without an answer. Ruled out by tests that passed before and after: a request in two pieces around SIGTERM, a second request behind an answer.

Cause: `Node._finish` closed the listener without accepting what waited, and `_when_answered` armed `reactor.stop` once and for all.

Change: `cloverhinge/shutdown.py`: ACCEPTING, CLOSING (each connection is ended at rest, as in a hand-over), LEAVING, STOPPED; the exit follows a look that finds no connection and no open request, or the longest wait.

--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -27,14 +27,10 @@
 from cloverhinge.net.changelog import Box, Change, ChangeLog
 from cloverhinge.net.front import Front
 from cloverhinge.net.pumps import Pumps
+from cloverhinge.shutdown import Hooks, Phase, Shutdown
 from cloverhinge.site import AcmeSite, HlsSite, Site
 
-ACCEPT_AFTER_TERM_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
-FLUSH_MS = 150.0  # for what has been written at the end to leave
-HAND_OVER_MS = 3000.0  # for the others to take what this one had: two leases
 CAUGHT_UP_MS = 3000.0  # a change log that tells nothing for so long is not waited for; 6 s are given
-HAND_ON_MS = 10.0  # pace at which connections are looked at for a moment of rest
-LAST_MS = 300.0  # beyond the longest wait; the platform ends the process 700 ms after that
 BACKLOG = 256
 PUBLISH_MS = 1000.0  # pace at which the facts for other routers are looked at
 
@@ -68,7 +64,11 @@
         self.boxes: dict[int, Box] = {}
         self.changelog = ChangeLog(reactor, config.changelog, config.seq, self.deadlines, self.change,
                                    random.Random(config.seed))
-        self.stopping = False
+        self.shutdown = Shutdown(
+            config.name, self.front, self.router, self.deadlines, self._longest_ms(),
+            Hooks(listeners=self._listeners, closed=self._nothing_listens,
+                  owns=lambda: self.custody is not None and self.custody.busy, ended=self._ended,
+                  stop=reactor.stop))
         self.port: Any = None
         self.web_ports: list[Any] = []
         self.plays: Any = None  # of the HLS front, where there is one
@@ -251,56 +251,33 @@
 
     def terminate(self) -> None:
         """SIGTERM: go on taking what still comes, answer all of it, then end."""
-        if self.stopping:
+        if self.shutdown.phase is not Phase.SERVING:
             return
-        self.stopping = True
-        self.front.ready = False
-        self.log.info("{name}: told to end, {open} requests open", name=self.config.name,
-                      open=self.router.open)
         for part in self.parts:
             part.told_to_end()
         if self.operation is not None:
             self.operation.told_to_end()
-        if self.config.listener is not None:
-            self.port.stopListening()  # what lies in its queue is the next process's
-            return self._hand_on(self.clock.now() + self._longest_ms() + LAST_MS)
-        self.deadlines.after(ACCEPT_AFTER_TERM_MS, self._finish)
+        self.shutdown.begin(shared_listener=self.config.listener is not None)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether SIGTERM has come."""
+        return self.shutdown.phase is not Phase.SERVING
 
     def _longest_ms(self) -> float:
-        """The longest that a viewer waits for an answer."""
+        """The longest that a client waits for an answer."""
         return max((to_ms(x.deadline_us) for x in self.config.settings.classes), default=0.0)
 
-    def _hand_on(self, until_ms: float) -> None:
-        """The next process accepts on the same listener: end each connection as it comes to rest."""
-        now = self.clock.now()
-        left = self.front.hand_on(now)
-        if (left == 0 and self.router.open == 0) or now >= until_ms:
-            self.log.info("{name}: handed on, {left} connections and {open} requests left",
-                          name=self.config.name, left=left, open=self.router.open)
-            if self.operation is not None:
-                self.operation.ended()
-            self.deadlines.after(FLUSH_MS, reactor.stop)
-        else:
-            self.deadlines.after(HAND_ON_MS, lambda: self._hand_on(until_ms))
+    def _listeners(self) -> list[Any]:
+        return [port for port in (self.port, *self.web_ports) if port is not None]
 
-    def _finish(self) -> None:
-        for port in (self.port, *self.web_ports):
-            port.stopListening()
+    def _nothing_listens(self) -> None:
         if self.gate is not None:
             self.gate.close()
-        self.router.on_open = self._when_answered
-        self._when_answered()
 
-    def _when_answered(self) -> None:
-        if self.router.open == 0:
-            self.router.on_open = lambda: None
-            self._when_handed(self.clock.now() + HAND_OVER_MS)
-
-    def _when_handed(self, until_ms: float) -> None:
-        if self.custody is not None and self.custody.busy and self.clock.now() < until_ms:
-            self.deadlines.after(FLUSH_MS, lambda: self._when_handed(until_ms))
-        else:
-            self.deadlines.after(FLUSH_MS, reactor.stop)
+    def _ended(self) -> None:
+        if self.operation is not None:
+            self.operation.ended()
 
 
 def serve(config: Config, site: Site) -> int:
