Attempts and tests are ended on the connection that carries them, also after their server moved or left

Ruled out: a release at the moment of delisting, which is sent while the server's connections are still known.

Cause: `Pumps.give_up` and `probe_ended` looked the server up by number; `Pump.tell` knew no retiring lines.

Change: a test holds its server's pool; give-ups go through all pools of a number; releases take a connection that still drains, or one more that is opened for them. `Pumps.list` is `follow` now, as it hid the type.

--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -73,7 +73,9 @@
 
 @dataclass(slots=True, eq=False)
 class Probe:
-    server: int
+    """A test of a server that is out.  Its server may have left the list since, or have moved."""
+
+    pump: Pump
     name: str
     started_ms: float
     deadline: Key | None = None
@@ -196,8 +198,9 @@
         self.opening, self.retry_ms = self.opening - 1, RETRY_MS[0]
         self.reset, self.refused_ms = False, None
         line.since_ms = line.used_ms = line.traffic_ms = self.heard_ms = self.pool.clock.now()
-        if not self.listed:
-            line.close()
+        if not self.listed:  # opened for what is still to be told, if anything is
+            self.retiring.append(line)
+            self._send_held(line)
             return
         if self.checking and self.lines:  # the pump lives; what it says here is read, its old lines go on
             self.retiring.append(line)
@@ -207,9 +210,12 @@
             self.lines.append(line)
             self.replacing = False
         self.checking = False
+        self._send_held(line)
+        self.flush()
+
+    def _send_held(self, line: PumpLine) -> None:
         while self.held:
             line.send(self.held.popleft())
-        self.flush()
 
     def retire(self, line: PumpLine) -> None:
         """A retired line takes no set-up; it is half-closed once none is open on it, and read until the pump
@@ -225,6 +231,9 @@
         self.opening -= 1
         now = self.pool.clock.now()
         self.retry_at_ms, self.retry_ms = now + self.retry_ms, min(self.retry_ms * 2, RETRY_MS[1])
+        if not self.listed:
+            self.held.clear()  # one try: it is on its way out
+            return
         if self.lines:
             self.flush()
             return
@@ -298,13 +307,17 @@
             self.write(line, self.waiting.pop(0))
 
     def tell(self, data: bytes) -> None:
-        """Something on a session that stands, on any line; kept for the next one where there is none."""
-        if self.lines:
-            self.lines[0].send(data)
-        else:
-            self.held.append(data)
-            if self.listed and not self.opening and self.pool.clock.now() >= self.retry_at_ms:
-                self.open()
+        """Something on a session that stands, on any line; kept for the next one where there is none.
+
+        Guards against sessions that stand for nobody at a server that has left the list, whose lines drain.
+        """
+        writable = self.lines or [x for x in self.retiring if x.closing_ms is None and not x.gone]
+        if writable:
+            writable[0].send(data)
+            return
+        self.held.append(data)
+        if not self.opening and self.pool.clock.now() >= self.retry_at_ms:
+            self.open()
 
     def all_lines(self) -> list[PumpLine]:
         return self.retiring + self.lines
@@ -428,10 +441,10 @@
         now = self.clock.now()
         for pump in [*self.pumps.values(), *self.unlisted]:
             pump.sweep(now)
-        self.unlisted = [pump for pump in self.unlisted if pump.all_lines()]
+        self.unlisted = [pump for pump in self.unlisted if pump.all_lines() or pump.opening]
         self.deadlines.after(SWEEP_MS, self._sweep)
 
-    def list(self, boxes: dict[int, Box]) -> None:
+    def follow(self, boxes: dict[int, Box]) -> None:
         """The boxes that are listed now, drained ones included."""
         for number in [n for n, pump in self.pumps.items() if boxes.get(n) != pump.box]:
             pump = self.pumps.pop(number)
@@ -459,8 +472,9 @@
             pump.submit(attempt)
 
     def give_up(self, attempt: Attempt) -> None:
-        pump, name = self.pumps.get(attempt.server), attempt.request.ask.name
-        for one in [pump] if pump else self.unlisted:
+        """Guards against looking at the successor alone: its server may have been listed anew since."""
+        name = attempt.request.ask.name
+        for one in self._known_as(attempt.server):
             if attempt in one.waiting:
                 one.waiting.remove(attempt)
             for line in one.all_lines():
@@ -470,6 +484,12 @@
                     if self.clock.now() >= attempt.until_ms:  # a line that left a set-up unanswered is spent
                         one.retire(line)
 
+    def _known_as(self, server: int) -> list[Pump]:
+        """The listed one of this number, and those whose connections still drain."""
+        listed = self.pumps.get(server)
+        drained = [one for one in self.unlisted if one.box.number == server]
+        return drained if listed is None else [listed, *drained]
+
     def release(self, request: Request, cause: Cause) -> None:
         pump = self.pumps.get(request.server or 0)
         if pump is not None:
@@ -490,22 +510,21 @@
     # Prober
 
     def probe(self, server: int) -> None:
-        self.probe_count += 1
-        probe = Probe(server, f"{self.probe_count:016x}", self.clock.now())
         pump = self.pumps.get(server)
         if pump is None:
-            self.probe_ended(probe, Outcome.CONNECT_FAILED)
+            self.router.probed(server, Outcome.CONNECT_FAILED, 0.0, None)
             return
+        self.probe_count += 1
+        probe = Probe(pump, f"{self.probe_count:016x}", self.clock.now())
         probe.deadline = self.deadlines.after(PROBE_MS, lambda: self.probe_ended(probe, Outcome.TIMEOUT))
         pump.submit(probe)
 
     def probe_ended(self, probe: Probe, outcome: Outcome, report: api.LoadReport | None = None) -> None:
         self.deadlines.cancel(probe.deadline)
-        pump = self.pumps.get(probe.server)
-        if pump is not None:
-            if probe in pump.waiting:
-                pump.waiting.remove(probe)
-            for line in pump.all_lines():
-                if line.probes.pop(probe.name, None) is not None and outcome is Outcome.TIMEOUT:
-                    pump.retire(line)
-        self.router.probed(probe.server, outcome, self.clock.now() - probe.started_ms, report)
+        pump = probe.pump
+        if probe in pump.waiting:
+            pump.waiting.remove(probe)
+        for line in pump.all_lines():
+            if line.probes.pop(probe.name, None) is not None and outcome is Outcome.TIMEOUT:
+                pump.retire(line)
+        self.router.probed(pump.box.number, outcome, self.clock.now() - probe.started_ms, report)
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -228,7 +228,7 @@
             if listing.health is not api.Health.GONE:
                 self.boxes[box.number] = box
         self.router.fleet(kind, (listing for _, listing in change.rows))
-        self.pumps.list(self.boxes)
+        self.pumps.follow(self.boxes)
         self.log.info("list {seq}: {rows} boxes changed, {boxes} listed", seq=change.seq,
                       rows=len(change.rows), boxes=len(self.boxes))
 
--- a/tests/test_pumps.py
+++ b/tests/test_pumps.py
@@ -51,7 +51,7 @@
         self.router = Router(settings(), 1, self.clock, self.deadlines)
         self.pumps = Pumps(self.reactor, self.router, self.clock, self.deadlines, 250.0, 30_000.0, 384)
         self.router.fleet(api.ListKind.FULL, [api.ServerListing(n, n, kind="box") for n in range(boxes)])
-        self.pumps.list({n: Box(n, f"box-{n}", "127.0.0.1", 1) for n in range(boxes)})
+        self.pumps.follow({n: Box(n, f"box-{n}", "127.0.0.1", 1) for n in range(boxes)})
         self.pumps.start()
 
     def carry(self, server: int) -> Viewing:
