Set-ups are begun in bounded turns, one of each connection after the other

That input held some 200 set-ups of a client that sends hundreds at once, with titles said to lie on all servers. Ruled out: garbage collection, the module's steps down, timers, sockets closed over unread input (logged, none).

Cause: `ViewerLine.dataReceived` began every set-up of an input of 64 KB before anything else was read.

Change: `net/intake.py`: set-ups wait in a bounded queue for each connection and are begun in turns of 10 ms, round robin; nothing is read from a connection whose queue is full; time spent waiting counts.

--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -22,6 +22,7 @@
 from cloverhinge.decision.interface import Outcome
 from cloverhinge.net import rtsp
 from cloverhinge.net.changelog import number_of
+from cloverhinge.net.intake import Intake, Queue, SetUp
 
 SWEEP_MS = 250.0
 SILENT_MS = 2500.0  # a connection that has brought no whole message so long after it was taken is closed
@@ -72,7 +73,8 @@
         self.handle = 0
         self.rank: dict[int, ViewerLine] = front.silent
         self.open: dict[str, Request] = {}  # set-ups that are owed an answer here
-        self.asked: list[rtsp.Message] = []  # set-ups of the input being read
+        self.queue = Queue()  # set-ups that have been read and not begun
+        self.paused = False  # nothing is read while the queue is full
         self.standing = 0  # sessions that were set up on it
         self.spoken = False  # a whole message has come
         self.since_ms = 0.0  # the connection's start
@@ -90,18 +92,29 @@
             self.partial_ms = None
         elif self.partial_ms is None:
             self.partial_ms = self.front.clock.now()
-        self._set_up_all()
+        self.front.intake.offer(self)
+        if self.queue.full and not self.gone:
+            self._pause(True)
 
-    def _set_up_all(self) -> None:
-        """Guards against attempts for a set-up whose cancellation came in the same piece of input."""
-        asked, self.asked = self.asked, []
-        for message in asked:
-            if self.gone:
-                return
-            try:
-                self.front.set_up(self, message)
-            except rtsp.Malformed as error:
-                self.malformed(error, message)
+    def _pause(self, paused: bool) -> None:
+        """Guards memory against a flood on one connection."""
+        transport: Any = self.transport
+        if paused != self.paused:
+            self.paused = paused
+            (transport.stopReading if paused else transport.startReading)()
+
+    def begin(self, one: SetUp) -> None:
+        """What came behind it in the same input has been read, so it has not been cancelled there."""
+        if self.gone:
+            self.queue.clear()
+            return
+        try:
+            self.front.set_up(self, one)
+        except rtsp.Malformed as error:
+            self.malformed(error, one.message)
+        self.front.arrange(self)
+        if not self.queue.full and not self.gone:
+            self._pause(False)
 
     def presence(self) -> Presence:
         """What the connection shows of its client now, without reading from it."""
@@ -144,11 +157,12 @@
             return  # a viewer heard a release, or sends anew what crosses the connection's end
         if message.method == "SETUP":
             if hands_over(message):  # it plays already, so its end has to reach the server whatever follows
-                self.front.set_up(self, message)
+                self.front.set_up(self, SetUp(message, self.heard_ms))
             else:
-                self.asked.append(message)
+                self.queue.add(SetUp(message, self.heard_ms))
+                self.front.arrange(self)
         elif message.method == "TEARDOWN":
-            self.asked = [one for one in self.asked if one.session != name]
+            self.queue.cancel(name)
             self.send(rtsp.response(200, cseq, name))
             request = self.front.router.by_name.get(name)
             if request is not None and isinstance(request.viewer, RtspViewer):
@@ -232,6 +246,7 @@
     def __init__(self, router: Router, boxes: Boxes, clock: Clock, deadlines: Deadlines, most: int) -> None:
         self.router, self.boxes, self.clock, self.deadlines = router, boxes, clock, deadlines
         self.lines: Table[ViewerLine] = Table(most)
+        self.intake = Intake(deadlines)
         # Who makes room when the table is full: the first of the first that is not empty.
         self.silent: dict[int, ViewerLine] = {}  # by handle, the earliest taken first
         self.resting: dict[int, ViewerLine] = {}  # spoke, no session stands; the longest silent first
@@ -279,7 +294,7 @@
     def arrange(self, line: ViewerLine) -> None:
         """Behind all others of the rank that is its now."""
         if line.handle and line.rank.pop(line.handle, None) is not None:
-            line.rank = (self.busy if line.open else self.silent if not line.spoken
+            line.rank = (self.busy if line.open or len(line.queue) else self.silent if not line.spoken
                          else self.holding if line.standing else self.resting)
             line.rank[line.handle] = line
 
@@ -290,13 +305,16 @@
     def down(self, line: ViewerLine) -> None:
         self.connections -= 1
         self.take_out(line)
+        line.queue.clear()
         for request in list(line.open.values()):
             if request.state is State.OPEN:
                 self.router.leave(request)
         line.open.clear()
 
-    def set_up(self, line: ViewerLine, message: rtsp.Message) -> None:
+    def set_up(self, line: ViewerLine, one: SetUp) -> None:
+        message = one.message
         ask, at = read_ask(message)
+        ask = replace(ask, wait_ms=max(0.0, ask.wait_ms - (self.clock.now() - one.read_ms)))
         if ask.class_name not in self.router.classes:
             raise rtsp.Malformed("unknown class", 400)
         if self.identify is not None:
@@ -352,7 +370,8 @@
                 continue
             left += 1
             young = not line.spoken and now - line.since_ms < YOUNG_MS
-            if not line.open and not young and not line.midway and not line.unread:
+            owed = line.open or len(line.queue)
+            if not owed and not young and not line.midway and not line.unread:
                 line.ending_ms = now
                 line.half_close()
         return left
--- /dev/null
+++ b/cloverhinge/net/intake.py
@@ -0,0 +1,106 @@
+"""Set-ups that have been read and not begun yet, taken in turns from the connections that they came on.
+
+A set-up costs some milliseconds of decisions, and one connection may bring hundreds at once.  Each turn of
+the reactor begins what fits into a bounded time, one of each connection after the other, so a flood delays
+others by about one set-up for each connection that floods.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Protocol
+
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.net import rtsp
+
+TURN_MS = 10.0  # set-ups are begun for so long before other connections are read; a few of them
+QUEUED_MOST = 256  # set-ups of one connection; beyond that nothing is read from it until some have begun
+QUEUED_BYTES_MOST = 64 * 1024  # and their bodies together: as much as is read at once
+
+
+@dataclass(frozen=True, slots=True)
+class SetUp:
+    """A set-up as it was read, and when."""
+
+    message: rtsp.Message
+    read_ms: float
+
+
+class Queue:
+    """The set-ups of one connection, in their order."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[SetUp] = deque()
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def full(self) -> bool:
+        return len(self._waiting) >= QUEUED_MOST or self._bytes >= QUEUED_BYTES_MOST
+
+    def add(self, one: SetUp) -> None:
+        self._waiting.append(one)
+        self._bytes += len(one.message.body)
+
+    def next(self) -> SetUp:
+        one = self._waiting.popleft()
+        self._bytes -= len(one.message.body)
+        return one
+
+    def cancel(self, session: str) -> None:
+        """Forget those of a session, as their client has."""
+        left = [one for one in self._waiting if one.message.session != session]
+        self.clear()
+        for one in left:
+            self.add(one)
+
+    def clear(self) -> None:
+        self._waiting.clear()
+        self._bytes = 0
+
+
+class Source(Protocol):
+    """A connection with set-ups that wait."""
+
+    queue: Queue
+
+    def begin(self, one: SetUp) -> None:
+        """Hand it to the core, or answer it."""
+
+
+class Intake:
+    """Begins set-ups in turns.  Each source is known to it once, while something waits there."""
+
+    def __init__(self, deadlines: Deadlines) -> None:
+        self.deadlines = deadlines
+        self._sources: deque[Source] = deque()
+        self._known: set[Source] = set()
+        self._scheduled = False
+
+    def offer(self, source: Source) -> None:
+        """Something may wait there.  It begins at once where nothing waits before it."""
+        if not len(source.queue) or source in self._known:
+            return
+        self._known.add(source)
+        self._sources.append(source)
+        if not self._scheduled:
+            self._turn()
+
+    def _turn(self) -> None:
+        self._scheduled = True  # what is offered meanwhile waits behind
+        clock = self.deadlines.clock
+        until_ms = clock.now() + TURN_MS
+        while self._sources and clock.now() < until_ms:
+            source = self._sources.popleft()
+            if len(source.queue):
+                source.begin(source.queue.next())
+            if len(source.queue):
+                self._sources.append(source)
+            else:
+                self._known.discard(source)
+        self._scheduled = bool(self._sources)
+        if self._scheduled:
+            self.deadlines.after(0.0, self._turn)
