Discovery: silence known in time on a second connection, gaps asked for, an empty list ends nothing

Confirmed by tests with a scripted log: a new connection that was silent too was given the same 2.2 s, so a change was known 4.5 s after the silence began (it counts as told after 4 s); an event that skipped a number hid the missing one for good, as the heartbeat behind it agreed; a log ahead of what it tells was called some 20 times a second, as any line reset the pause; an empty whole list ended every session. Ruled out: a watch of the old log after a move (it was not listened to), idle clients that fill the descriptors while discovery is down (the table's half and the servers' fifth leave room), a server that leaves and another at its address.

Change: a new connection has 1.2 s for its first line, silence is 1.6 s (worst case with one silent new connection 3.0 s; with two 4.3 s, which is not kept); a gap is asked for once more and taken if told again; the pause is reset by progress alone; each try has a factory of its own; silence with unread input is none; after an empty whole list nothing new is sent and what plays goes on.

--- a/cloverhinge/lab/stand.py
+++ b/cloverhinge/lab/stand.py
@@ -164,11 +164,11 @@
 
 
 class ChangeLog(Listener):
-    def __init__(self) -> None:
+    def __init__(self, port: int = 0) -> None:
         self.events: list[dict[str, Any]] = []
         self.followers: queue.Queue[tuple[int, Wire]] = queue.Queue()
         self.beating = True
-        super().__init__()
+        super().__init__(port)
 
     def event(self, rows: list[dict[str, Any]], full: bool = False) -> dict[str, Any]:
         event = {"seq": len(self.events) + 1,
@@ -289,10 +289,10 @@
 
 
 @contextmanager
-def site(folder: Path, count: int = 2, pumps: Sequence[Pump] = (), **more: Any,
+def site(folder: Path, count: int = 2, pumps: Sequence[Pump] = (), log: ChangeLog | None = None, **more: Any,
          ) -> Iterator[tuple[Program, list[Pump], ChangeLog]]:
     """A program with so many pumps, one a cell; it has to end without an escaped exception."""
-    pumps, log = list(pumps) or [Pump(f"s-{n:08x}", n) for n in range(count)], ChangeLog()
+    pumps, log = list(pumps) or [Pump(f"s-{n:08x}", n) for n in range(count)], log or ChangeLog()
     program = Program(folder, pumps, log, **more)
     try:
         yield program, pumps, log
--- a/cloverhinge/net/buffered.py
+++ b/cloverhinge/net/buffered.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any
 
 from twisted.internet.interfaces import IPushProducer
@@ -72,6 +73,22 @@
     def oversized(self) -> None:
         self.drop()
 
+    def peek(self) -> bytes | None:
+        """Some of what lies unread in the socket; nothing at its end, None where nothing has come."""
+        transport: Any = self.transport
+        try:
+            unread: bytes = transport.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError:
+            return b""
+        return unread
+
+    @property
+    def unread(self) -> bool:
+        """Something lies in the socket that has not been read."""
+        return not self.gone and bool(self.peek())
+
     def drop(self) -> None:
         """Cut the connection at once; nothing more is read from it."""
         self.gone = True
--- a/cloverhinge/net/changelog.py
+++ b/cloverhinge/net/changelog.py
@@ -20,8 +20,13 @@
 from cloverhinge.net.buffered import BufferedReceiver
 
 HEALTH = {"active": api.Health.READY, "leaving": api.Health.DRAINING, "left": api.Health.GONE}
-SILENT_MS = 2200.0  # a heartbeat comes each second; so long without one is silence
+# What a silent log would have told counts as told after 4 s.  A heartbeat comes each second, so silence is
+# known 1.6 s after it began; a new connection that is silent too is given up 1.2 s later, and the one after
+# that has told its events by 3.0 s.  A second silent one would take until 4.3 s: that is not kept.
+SILENT_MS = 1600.0
+FIRST_LINE_MS = 1200.0
 CONNECT_MS = 700.0
+UNREAD_MS = 50.0  # for the reactor to read what lies in the socket
 BACKOFF_MS = (50.0, 1000.0)
 LINE_MAX = 1 << 20
 PLATFORM_ID = re.compile(r"s-[0-9a-f]{8}")
@@ -105,18 +110,35 @@
         self.follower.lost(self)
 
 
-class ChangeLog(ClientFactory):
+class _Try(ClientFactory):
+    """One try to connect.  What comes of it later than the next try is not listened to."""
+
+    noisy = False
+
+    def __init__(self, follower: ChangeLog) -> None:
+        self.follower = follower
+
+    def buildProtocol(self, addr: Any) -> ChangeLogLine | None:
+        return ChangeLogLine(self.follower) if self.follower.current is self else None
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        if self.follower.current is self:
+            self.follower.failed()
+
+
+class ChangeLog:
     """Follows the change log for good: resumes after the last event it has, takes silence for a break."""
 
     log = Logger()
-    noisy = False
 
     def __init__(self, reactor: Any, where: tuple[str, int], seq: int, deadlines: Deadlines,
                  tell: Callable[[Change], None], rng: random.Random) -> None:
         self.reactor, self.where, self.seq = reactor, where, seq
         self.deadlines, self.tell, self.rng = deadlines, tell, rng
         self.line: ChangeLogLine | None = None
+        self.current: _Try | None = None
         self.connector: Any = None
+        self.asked_again: tuple[int, int] | None = None  # a gap that the log has been asked to fill: its ends
         self.watch: Key | None = None
         self.pause: Key | None = None  # before the next try
         self.backoff_ms = BACKOFF_MS[0]
@@ -138,7 +160,8 @@
         if self.stopped:
             return
         self.watch = self.deadlines.after(CONNECT_MS, self.silent)
-        self.connector = self.reactor.connectTCP(*self.where, self, timeout=30)
+        self.current = _Try(self)
+        self.connector = self.reactor.connectTCP(*self.where, self.current, timeout=30)
 
     def follow(self, where: tuple[str, int]) -> None:
         """The log has moved: ask there at once for what comes after the last event.
@@ -149,7 +172,7 @@
             return
         self.where, self.backoff_ms = where, BACKOFF_MS[0]
         line, self.line = self.line, None
-        connector, self.connector = self.connector, None
+        connector, self.connector, self.current = self.connector, None, None
         for key in (self.watch, self.pause):
             self.deadlines.cancel(key)
         if line is not None:
@@ -158,30 +181,30 @@
             connector.stopConnecting()
         self.start()
 
-    def buildProtocol(self, addr: Any) -> ChangeLogLine:
-        return ChangeLogLine(self)
-
     def connected(self, line: ChangeLogLine) -> None:
         self.line = line
         line.send(f"since {self.seq}\n".encode())
-        self._watch()
+        self._watch(FIRST_LINE_MS)
 
-    def _watch(self) -> None:
+    def _watch(self, limit_ms: float) -> None:
         self.deadlines.cancel(self.watch)
-        self.watch = self.deadlines.after(SILENT_MS, self.silent)
+        self.watch = self.deadlines.after(limit_ms, self.silent)
 
     def silent(self) -> None:
         """Guards against a log that stands still on an open connection, or never takes a new one."""
         self.watch = None
+        if self.line is not None and self.line.unread:
+            self._watch(UNREAD_MS)  # it has spoken while this process stood still
+            return
         self.log.info("change log: silent, connecting anew after event {seq}", seq=self.seq)
         if self.line is not None:
             self.line.drop()
         elif self.connector is not None:
             self.connector.stopConnecting()
 
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        if connector is self.connector:
-            self._again()
+    def failed(self) -> None:
+        """The current try has come to nothing."""
+        self._again()
 
     def lost(self, line: ChangeLogLine) -> None:
         if self.line is line:
@@ -204,17 +227,30 @@
             self.log.error("change log: {error}", error=str(error)[:200])
             line.drop()
             return
-        self._watch()
-        self.backoff_ms = BACKOFF_MS[0]
+        self._watch(SILENT_MS)
         last = value if isinstance(value, int) else value["seq"]
         if isinstance(value, int) or len(value) == 1:  # the last number alone: the heartbeat
-            if last > self.seq:  # events are missing: ask for them again
-                line.drop()
-            else:
-                self._caught_up()
-            return
-        if last <= self.seq:
-            return
-        self.seq = last
-        if change is not None:
-            self.tell(change)
+            self._heartbeat(line, last)
+        elif last > self.seq and not self._asks_again(line, last, change):
+            self.seq, self.backoff_ms = last, BACKOFF_MS[0]
+            if change is not None:
+                self.tell(change)
+
+    def _heartbeat(self, line: ChangeLogLine, last: int) -> None:
+        """Guards against calls without pause at a log that is ahead of what it tells."""
+        if last > self.seq:  # events are missing: ask for them again
+            line.drop()
+        else:
+            self.backoff_ms = BACKOFF_MS[0]
+            self._caught_up()
+
+    def _asks_again(self, line: ChangeLogLine, last: int, change: Change | None) -> bool:
+        """Guards against events that got lost: a gap is asked for once more, and taken if it is told again.
+        A whole list leaves no gap."""
+        gap = self.seq, last
+        if last == self.seq + 1 or (change is not None and change.full) or self.asked_again == gap:
+            return False
+        self.asked_again = gap
+        self.log.info("change log: event {last} after {seq}, asks again", last=last, seq=self.seq)
+        line.drop()
+        return True
--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -118,21 +117,10 @@
 
     def presence(self) -> Presence:
         """What the connection shows of its client now, without reading from it."""
-        if self.gone:
+        unread = None if self.gone else self.peek()
+        if self.gone or unread == b"":
             return Presence.GONE
-        transport: Any = self.transport
-        try:
-            unread = transport.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except (BlockingIOError, InterruptedError):
-            return Presence.THERE
-        except OSError:
-            return Presence.GONE
-        return Presence.UNREAD if unread else Presence.GONE
-
-    @property
-    def unread(self) -> bool:
-        """Something lies in the socket that has not been read."""
-        return self.presence() is Presence.UNREAD
+        return Presence.UNREAD if unread else Presence.THERE
 
     def half_close(self) -> None:
         """Nothing more is written; what comes is read until the viewer closes too."""
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -218,6 +219,8 @@
 
     def change(self, change: Change, kind: api.ListKind | None = None) -> None:
         """A list, or a change of one: the router first, as it says what may still be written to."""
+        if change.full and not change.rows and self.boxes:
+            change, kind = self._all_draining(change), api.ListKind.DELTA
         if self.operation is not None:
             self.operation.listed(box.name for box, _ in change.rows)
         kind = kind or (api.ListKind.FULL if change.full else api.ListKind.DELTA)
@@ -232,6 +235,16 @@
         self.log.info("list {seq}: {rows} boxes changed, {boxes} listed", seq=change.seq,
                       rows=len(change.rows), boxes=len(self.boxes))
 
+    def _all_draining(self, change: Change) -> Change:
+        """Guards what plays against a whole list that is empty, which may be a fault of the log: nothing new
+        is sent to any server until it is told again, and no session is ended."""
+        self.log.warn("list {seq} is empty: nothing new is sent to the {boxes} servers known", seq=change.seq,
+                      boxes=len(self.boxes))
+        listings = self.router.listings
+        return replace(change, full=False, rows=tuple(
+            (box, replace(listings[number], health=api.Health.DRAINING))
+            for number, box in self.boxes.items() if number in listings))
+
     def reload(self) -> None:
         """SIGHUP: read the configuration anew.  One that is bad or half written leaves the old one in force.
 
