Cold servers: the ramp holds for the sum of all routers, whatever each one's traffic

Seen in a test of 20, 30 and 200 modules with 6 in 10 servers just started and the others full: windows passed N + 2 sqrt(N) + 2 by up to 12 set-ups, and the servers got twice their ramp over 9 s. Worst after a common restart (no history) and in bursts; also with few cold servers and usual traffic.

Cause: `Trust.cold_turn` divided the own pace by the number of servers, but a session may go to each of its title's holders, so a cold server is asked for by `copies` times as many; and a router without history took its first sessions for its usual pace.

Change: the chance of a session at a cold server is the own part of the set-ups that came due since the last session that could go there, or since the server was heard of, and at most those of the usual time between two such sessions. Under ten routers a turn each at once is no harm, and the second bound alone holds. Ways not taken: turns at drawn moments that lapse (thin traffic leaves them unused); a longer memory of the own pace (lags).

--- a/cloverhinge/decision/loads.py
+++ b/cloverhinge/decision/loads.py
@@ -88,5 +88,5 @@
         age = 1.0 if since_us is None or not cold_us else min(1.0, max(0, self.now - since_us) / cold_us)
         return start + (1 - start) * age
 
-    def cold_pace(self, server: Server) -> float:  # set-ups a second, of all instances
-        return server.places.capacity * 1e6 / self.settings.cold_us * self.warmth(server)
+    def cold_pace(self, server: Server) -> float:  # set-ups a microsecond, of all instances the own part
+        return server.places.capacity / self.settings.cold_us * self.warmth(server) / self.settings.fleet_size
--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -195,7 +195,7 @@
         server.used, server.trial = True, server.failures > 0
         session.tried.append(server)
         if self.warmth(server) < 1:
-            server.next_setup_us = self.now + int(1e6 * told.fleet_size / self.cold_pace(server))
+            server.next_setup_us = self.now + int(1 / self.cold_pace(server))
         session.book(self.now, server, rung)
         if rung <= request.ceiling and (rung != kind.floor or session.attempts > 1):  # else the floor
             self.out.append(api.SetRung(request.session, rung))
--- a/cloverhinge/decision/state.py
+++ b/cloverhinge/decision/state.py
@@ -82,6 +82,7 @@
     uplink: Limit
     cold_since_us: int | None = None  # when it started, as told or supposed
     next_setup_us: int = 0  # own pace while it is cold
+    looked_us: int = 0  # when a session last looked at it while it was cold, or it was heard of
     failures: int = 0  # failures not yet made good
     distrusted_until_us: int = 0
     erred: set[str] = field(default_factory=set)  # titles that erred here since it served one
@@ -92,6 +93,15 @@
     def ready(self) -> bool:
         return self.listing.health is Health.READY
 
+    def look(self, now_us: int) -> int:
+        """The time since the last look at it while it is cold, or since it was heard of or started, in us."""
+        since_us, self.looked_us = max(self.looked_us, self.cold_since_us or 0), now_us
+        return now_us - since_us
+
+    def paused(self, now_us: int) -> bool:
+        """It is not this instance's turn again while the server is cold."""
+        return now_us < self.next_setup_us
+
     def limits(self) -> tuple[Limit, Limit, Limit]:
         return self.link, self.places, self.uplink
 
@@ -212,7 +222,7 @@
                 continue
             held = self.servers.get(listing.server) or self.add(now_us, listing)
             if listing.started_us > (held.cold_since_us or 0):
-                held.cold_since_us = listing.started_us
+                held.cold_since_us, held.looked_us = listing.started_us, now_us
             if listing.anew:
                 held.forget(now_us)
             held.listing = listing
@@ -229,7 +239,7 @@
                                      Limit(told.uplink_kb or UNTOLD, self.uplinks))
         link = Limit((listing.weight if listing.weight > 0 else 1.0) * told.weight_kb, self.links)
         places = Limit(float(told.places_by_kind.get(listing.kind, UNTOLD)), self.places)
-        self.servers[listing.server] = Server(listing, link, places, rack)
+        self.servers[listing.server] = Server(listing, link, places, rack, looked_us=now_us)
         return self.servers[listing.server]
 
     def holders(self, request: SessionRequested) -> list[Server]:
--- a/cloverhinge/decision/trust.py
+++ b/cloverhinge/decision/trust.py
@@ -13,11 +13,12 @@
 
 class Trust(Loads):
     def cold_turn(self, server: Server, session: Session) -> bool:
-        """Guards against first sessions of all instances at once: one passes by the chance of its pace."""
+        """Guards the ramp over the fleet: by chance, the own part of what came due since the last look."""
         if (number := server.listing.server) not in session.cold_turns:
-            own = self.requests.pace(self.now, self.born_us - BURST_US, (PACE_SPAN_US, BURST_US))
-            wanted = own * self.settings.fleet_size / max(len(self.fleet.servers), 1)
-            session.cold_turns[number] = self.random.random() * wanted < self.cold_pace(server)
+            asked_us = 1e6 * max(1.0, self.settings.cells / session.request.copies) / self.requests.pace(
+                self.now, self.born_us - BURST_US, (PACE_SPAN_US, BURST_US))  # between own looks, usually
+            due_us = min(server.look(self.now), asked_us) if self.many else asked_us  # few: at once
+            session.cold_turns[number] = self.random.random() < due_us * self.cold_pace(server)
         return session.cold_turns[number]
 
     def usable(self, server: Server, session: Session) -> bool:
@@ -27,8 +28,7 @@
             return False
         if server.failures and (server.trial or kind.effect is api.Effect.ONCE):
             return False  # one trial at a time, and never with a session that can't be sent again
-        early = self.now < server.next_setup_us
-        if self.warmth(server) < 1 and (early or not self.cold_turn(server, session)):
+        if self.warmth(server) < 1 and (server.paused(self.now) or not self.cold_turn(server, session)):
             return False
         if ran is None or kind.effect is api.Effect.REPEATABLE:
             return True
