--- a/Makefile
+++ b/Makefile
@@ -21,5 +21,6 @@
 	.venv-dev/bin/ruff check cloverhinge tests example benchmarks
 	.venv-dev/bin/mypy
 	.venv-dev/bin/lint-imports --no-cache
+	.venv-dev/bin/python -m tests.known_red
 	.venv-dev/bin/python -m pytest -m "not herd"
 	.venv-dev/bin/python -m pytest -m herd -n 0
