--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -2,8 +2,8 @@
 
     python -m tests.known_red
 
-checks the list against the tests that exist and prints it.  A line names the test, the cause and the issue, with
-`|` between them.  A listed test is run; CI passes over its failure alone, and fails once it passes.
+checks the list against the tests that exist and prints it.  A line names the test, the cause and the issue,
+with `|` between them.  A listed test is run; CI passes over its failure alone, and fails once it passes.
 """
 
 from __future__ import annotations
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -29,13 +29,15 @@
 
 
 @pytest.mark.parametrize("listed,body,passes", [
-    (True, "assert False", True), (True, "pass", False), (False, "assert False", False), (False, "pass", True)])
+    (True, "assert False", True), (True, "pass", False),
+    (False, "assert False", False), (False, "pass", True)])
 def test_only_the_failure_of_a_listed_test_is_passed_over(
         tmp_path: Path, listed: bool, body: str, passes: bool) -> None:
     (tmp_path / "conftest.py").write_text(
         "from tests.known_red import mark, parse\n"
         f"def pytest_collection_modifyitems(items):\n    mark(items, parse({LINE if listed else ''!r}))\n")
     (tmp_path / "test_some.py").write_text(f"def test_one():\n    {body}\n")
-    done = subprocess.run([sys.executable, "-m", "pytest", "-p", "no:cacheprovider", str(tmp_path)],
-                          cwd=tmp_path, env={"PYTHONPATH": str(ROOT)}, capture_output=True, text=True, check=False)
+    command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", str(tmp_path)]
+    done = subprocess.run(command, cwd=tmp_path, env={"PYTHONPATH": str(ROOT)},
+                          capture_output=True, text=True, check=False)
     assert (done.returncode == 0) is passes, done.stdout
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -1,4 +1,4 @@
-"""The program on other deployments: their settings are read, and none of their names stands in the program."""
+"""The program on other deployments: their settings are read, and none of their names stands in it."""
 
 from __future__ import annotations
 
