After a pause of the process, what lies unread is taken before a server's silence or a half answer counts

Confirmed with the process stopped: the rest of a paid answer that had come meanwhile was thrown away (the time for an unfinished message ran out first), and a server that had spoken was taken for lost after 7 s, its sessions cut. Cause: the reactor runs its timers ahead of the sockets. Also: a cancellation that comes on another connection finds a set-up that waits in a queue there.

--- a/cloverhinge/net/front.py
+++ b/cloverhinge/net/front.py
@@ -151,6 +151,7 @@
                 self.front.arrange(self)
         elif message.method == "TEARDOWN":
             self.queue.cancel(name)
+            self.front.intake.cancel(name)
             self.send(rtsp.response(200, cseq, name))
             request = self.front.router.by_name.get(name)
             if request is not None and isinstance(request.viewer, RtspViewer):
--- a/cloverhinge/net/intake.py
+++ b/cloverhinge/net/intake.py
@@ -50,8 +50,13 @@
         self._bytes -= len(one.message.body)
         return one
 
+    def holds(self, session: str) -> bool:
+        return any(one.message.session == session for one in self._waiting)
+
     def cancel(self, session: str) -> None:
         """Forget those of a session, as their client has."""
+        if not self.holds(session):
+            return
         left = [one for one in self._waiting if one.message.session != session]
         self.clear()
         for one in left:
@@ -89,6 +94,11 @@
         if not self._scheduled:
             self._turn()
 
+    def cancel(self, session: str) -> None:
+        """Whatever ends a session may come on any connection."""
+        for source in self._known:
+            source.queue.cancel(session)
+
     def _turn(self) -> None:
         self._scheduled = True  # what is offered meanwhile waits behind
         clock = self.deadlines.clock
--- a/cloverhinge/net/pumps.py
+++ b/cloverhinge/net/pumps.py
@@ -36,6 +36,7 @@
 RETRY_MS = (200.0, 2000.0)  # pause before a failed connection is tried again
 IDLE_SHARE = 0.6  # of the time after which idle connections are closed, a line without traffic is given up
 RETIRE_MS = 1500.0  # a replaced line is read for so long after its end was announced
+UNREAD_MS = 50.0  # for the reactor to read what lies in a socket
 PARTIAL_MS = 400.0  # a message that is not whole so long after its first part never will be
 SPARE_MS = 5000.0  # a line beyond the first that carried no set-up for so long is closed
 LINES_MOST = 8  # to one pump; as many as there are set-ups under way to it at once on the busiest days
@@ -109,7 +110,7 @@
         if self.gone:
             return
         if self.midway:
-            self.partial = self.partial or deadlines.after(PARTIAL_MS, self.drop)
+            self.partial = self.partial or deadlines.after(PARTIAL_MS, self._partial_over)
             return
         whole, self.whole = self.whole, []
         for message in whole:
@@ -118,6 +119,14 @@
             except rtsp.Malformed as error:
                 self.malformed(error, message)
 
+    def _partial_over(self) -> None:
+        """Guards against an answer thrown away after a pause of this process: its rest may lie unread."""
+        self.partial = None
+        if self.unread:
+            self.partial = self.pump.pool.deadlines.after(UNREAD_MS, self._partial_over)
+        else:
+            self.drop()
+
     def received(self, message: rtsp.Message) -> None:
         self.whole.append(message)
 
@@ -393,6 +402,8 @@
             return
         if self.lines and now - self.lines[0].traffic_ms > IDLE_SHARE * self.pool.idle_ms:
             self.replace()
+        if now - self.heard_ms > DEAD_MS and any(line.unread for line in self.all_lines()):
+            return  # this process stood still: what has come meanwhile is read first
         if now - self.heard_ms > DEAD_MS:
             self.pool.log.warn("pump {name}: silent, its sessions are taken as lost", name=self.box.name)
             for line in self.all_lines():
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -109,3 +109,14 @@
     assert queue.full
     queue.next()
     assert not queue.full and not len(queue)
+
+
+def test_a_cancellation_on_another_connection_finds_a_set_up_that_waits() -> None:
+    clock, took = ManualClock(), list[str]()
+    intake = Intake(Deadlines(clock))
+    source = Asking(clock, "flood", 50, took)
+    intake.offer(source)
+    begun = len(took)
+    intake.cancel(f"{49:016x}")
+    intake.cancel(f"{begun:016x}")
+    assert len(source.queue) == 50 - begun - 2
