--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -39,6 +39,7 @@
     rate: float  # new sessions a second at each router, in the mean
     history_s: float = 20.0  # of the routers before the start; none after a common restart
     cold_share: float = 0.6
+    told_s: float = 0.0  # all routers hear of the start so long after it
     sends: dict[int, list[int]] = field(default_factory=dict)  # times by cold server
     refused: int = 0
 
@@ -57,11 +58,12 @@
         controller.handle(BORN_US - round(self.history_s * SECOND_US),
                           api.FleetUpdate(api.ListKind.CACHED, tuple(before)))
         rows = tuple(api.ServerListing(n, n, "z", "box", started_us=BORN_US) for n in self.cold)
-        controller.handle(BORN_US, api.FleetUpdate(api.ListKind.DELTA, rows))
+        told_us = BORN_US + round(self.told_s * SECOND_US)
+        controller.handle(told_us, api.FleetUpdate(api.ListKind.DELTA, rows))
         for number in range(self.servers):
             load = 0.0 if number in self.cold else 1.2
             report = api.LoadReport(streams=load * PLACES, link=load, uplink=0.1)
-            controller.handle(BORN_US, api.ProbeEnded(number, api.Outcome.SERVED, 0, report))
+            controller.handle(told_us, api.ProbeEnded(number, api.Outcome.SERVED, 0, report))
         return controller
 
     def rates(self) -> list[float]:
@@ -78,8 +80,8 @@
                     at_us = BORN_US - round(self.random.uniform(0, self.history_s) * SECOND_US)
                     self.controllers[router].requests.moments.append(at_us)
                 self.controllers[router].requests.moments.sort()
-            for second in range(LENGTH_US // SECOND_US):
-                often = rate * (burst if second == 1 else 1.0)
+            for second in range(round(self.told_s), LENGTH_US // SECOND_US):
+                often = rate * (burst if second == 1 + self.told_s else 1.0)
                 at = self.random.expovariate(often)
                 while at < 1.0:
                     at_us = BORN_US + round((second + at) * SECOND_US)
@@ -120,16 +122,17 @@
         return worst
 
 
-CASES = {"usual traffic": (20.0, 1.0, 0.6), "a burst": (20.0, 4.0, 0.6), "a common restart": (0.0, 4.0, 0.6),
-         "few cold servers": (20.0, 2.0, 0.1)}
+CASES = {"usual traffic": (20.0, 1.0, 0.6, 0.0), "a burst": (20.0, 4.0, 0.6, 0.0),
+         "a common restart": (0.0, 4.0, 0.6, 0.0), "few cold servers": (20.0, 2.0, 0.1, 0.0),
+         "a start that is told late": (20.0, 4.0, 0.6, 4.0)}  # history, burst, cold share, told after
 
 
 @pytest.mark.parametrize("case", CASES)
 @pytest.mark.parametrize("routers,servers", [(20, 20), (30, 30), (200, 60)])
 def test_the_sum_of_all_routers_stays_within_the_ramp(routers: int, servers: int, case: str) -> None:
-    history_s, burst, cold_share = CASES[case]
+    history_s, burst, cold_share, told_s = CASES[case]
     for seed in range(3 if routers < 100 else 1):
-        fleet = Fleet(routers, servers, seed, 100.0 / routers, history_s, cold_share)
+        fleet = Fleet(routers, servers, seed, 100.0 / routers, history_s, cold_share, told_s)
         fleet.play(burst)
         assert any(fleet.sends.values()), "cold servers are not left unused"
         assert fleet.worst_excess() <= 0, (seed, {n: len(x) for n, x in fleet.sends.items()})
