Names: rtsp/ and discovery/ in place of net/; connections, pools and the set of servers apart

Changes no behaviour. net/front.py is rtsp/front.py, client_connection.py, client.py and set_up.py; net/pumps.py is rtsp/media_servers.py (all servers), server_pool.py (one) and server_connection.py; net/changelog.py is discovery/updates.py and watch.py. ViewerLine, PumpLine, Pump, Pumps, ChangeLog, Box, hand_on and line are ClientConnection, ServerConnection, ServerPool, MediaServers, DiscoveryWatch, ServerAddress, close_at_rest and connection.

--- a/cloverhinge/admin.py
+++ b/cloverhinge/admin.py
@@ -14,16 +14,16 @@
 from cloverhinge.core import invariants
 from cloverhinge.core.model import State
 from cloverhinge.core.router import Router
+from cloverhinge.discovery.updates import ServerAddress
 from cloverhinge.net.buffered import BufferedReceiver
-from cloverhinge.net.changelog import Box
-from cloverhinge.net.pumps import Pumps
+from cloverhinge.rtsp.media_servers import MediaServers
 
 SESSIONS_MOST = 100  # shown; the count is told in full
 LINES_MOST = 16  # connections at a time
 
 
-def snapshot(name: str, router: Router, pumps: Pumps, boxes: dict[int, Box], started_ms: float,
-             certificate: dict[str, Any] | None, plays: int, clients: list[dict[str, Any]],
+def snapshot(name: str, router: Router, media_servers: MediaServers, boxes: dict[int, ServerAddress],
+             started_ms: float, certificate: dict[str, Any] | None, plays: int, clients: list[dict[str, Any]],
              ) -> dict[str, Any]:
     now = router.clock.now()
     servers = router.controller.fleet.servers
@@ -44,7 +44,7 @@
             "sessions": len(router.standing.get(number, {})),
             "link": load(servers[number].link) if number in servers else None,
             "uplink": load(servers[number].uplink) if number in servers else None,
-            "connected": number in pumps.pumps and bool(pumps.pumps[number].lines),
+            "connected": number in media_servers.pools and bool(media_servers.pools[number].connections),
         } for number, box in sorted(boxes.items(), key=lambda x: x[1].name)],
         "sessions": [{
             "id": request.ask.name, "class": request.ask.class_name, "title": request.ask.title,
--- a/cloverhinge/config.py
+++ b/cloverhinge/config.py
@@ -10,7 +10,7 @@
 
 from cloverhinge.core.told import ConfigError, address
 from cloverhinge.decision import interface as api
-from cloverhinge.net.changelog import Change, parse_event
+from cloverhinge.discovery.updates import ListUpdate, parse_update
 from cloverhinge.settings import parse_settings
 
 
@@ -23,7 +23,7 @@
     sockets: int
     changelog: tuple[str, int]
     seq: int
-    known: tuple[Change, ...]
+    known: tuple[ListUpdate, ...]
     settings: api.Settings
     connect_ms: float
     idle_ms: float
@@ -49,7 +49,7 @@
 
 def parse(told: dict[str, Any], environment: Mapping[str, str]) -> Config:
     limits, settings, known = told.get("limits") or {}, told["settings"], told.get("known") or {}
-    changes = [parse_event(event) for event in known.get("results") or []]
+    changes = [parse_update(event) for event in known.get("results") or []]
     rules = settings.get("limits") or {}
     listen = environment.get("LB_LISTEN") or told["listen"]
     mgmt, inherited = environment.get("LB_MGMT") or told.get("mgmt"), environment.get("LB_LISTEN_FD")
--- /dev/null
+++ b/cloverhinge/discovery/updates.py
@@ -0,0 +1,75 @@
+"""Updates of the list of media servers, as discovery writes them in JSON."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from dataclasses import dataclass
+from typing import Any
+
+from cloverhinge.core.told import address
+from cloverhinge.decision import interface as api
+
+HEALTH = {"active": api.Health.READY, "leaving": api.Health.DRAINING, "left": api.Health.GONE}
+PLATFORM_ID = re.compile(r"s-[0-9a-f]{8}")
+
+
+@dataclass(frozen=True, slots=True)
+class ServerAddress:
+    """Where a listed box is reached."""
+
+    number: int
+    name: str
+    host: str
+    port: int
+
+
+def server_number(name: str) -> int:
+    """The module's number for a box: alike at every router, as it picks a title's first holder by it.
+
+    An id of the platform's form holds the number that the simulator gives the same box, so both programs
+    begin a title at the same holder.  Any other id is hashed, to a number that no such id has.
+    """
+    if PLATFORM_ID.fullmatch(name):
+        return int(name[2:], 16)
+    return 1 << 32 | int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big")
+
+
+def parse_instance(row: dict[str, Any]) -> tuple[ServerAddress, api.ServerListing]:
+    name = str(row["instanceId"])
+    host, port = address(str(row["hostPort"]))
+    number = server_number(name)
+    weight = row.get("weight")
+    listing = api.ServerListing(
+        server=number,
+        cell=int(row.get("cell") or 0),
+        zone=str(row.get("zone") or ""),
+        kind=str(row.get("machineType") or ""),
+        health=HEALTH[str(row["lifecycle"])],
+        weight=1.0 if weight is None else float(weight),
+        started_us=round(float(row.get("startedAtMs") or 0) * 1000.0),
+    )
+    return ServerAddress(number, name, host, port), listing
+
+
+@dataclass(frozen=True, slots=True)
+class ListUpdate:
+    seq: int
+    full: bool
+    rows: tuple[tuple[ServerAddress, api.ServerListing], ...]
+
+
+def parse_update(event: Any) -> ListUpdate | None:
+    """None for a kind of event that this version does not know."""
+    if not isinstance(event, dict) or not isinstance(event.get("seq"), int):
+        raise ValueError("an event has a number")
+    fleet = event.get("fleet")
+    if fleet is None:
+        return None
+    if not isinstance(fleet, dict) or not isinstance(fleet.get("instances"), list):
+        raise ValueError("a list has instances")
+    try:
+        rows = tuple(parse_instance(row) for row in fleet["instances"])
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"an instance is malformed: {error!r}") from error
+    return ListUpdate(event["seq"], bool(fleet.get("reset")), rows)
--- a/cloverhinge/net/changelog.py
+++ b/cloverhinge/discovery/watch.py
@@ -1,13 +1,10 @@
-"""The list of boxes: its events as JSON, and the change log that brings later ones."""
+"""The watch on the list of media servers: follows discovery for good, over breaks, silence and moves."""
 
 from __future__ import annotations
 
-import hashlib
 import json
 import random
-import re
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory, connectionDone
@@ -15,11 +12,9 @@
 from twisted.python.failure import Failure
 
 from cloverhinge.core.deadlines import Deadlines, Key
-from cloverhinge.core.told import address
-from cloverhinge.decision import interface as api
+from cloverhinge.discovery.updates import ListUpdate, parse_update
 from cloverhinge.net.buffered import BufferedReceiver
 
-HEALTH = {"active": api.Health.READY, "leaving": api.Health.DRAINING, "left": api.Health.GONE}
 # What a silent log would have told counts as told after 4 s.  A heartbeat comes each second, so silence is
 # known 1.6 s after it began; a new connection that is silent too is given up 1.2 s later, and the one after
 # that has told its events by 3.0 s.  A second silent one would take until 4.3 s: that is not kept.
@@ -29,71 +24,13 @@
 UNREAD_MS = 50.0  # for the reactor to read what lies in the socket
 BACKOFF_MS = (50.0, 1000.0)
 LINE_MAX = 1 << 20
-PLATFORM_ID = re.compile(r"s-[0-9a-f]{8}")
-
-
-@dataclass(frozen=True, slots=True)
-class Box:
-    """Where a listed box is reached."""
-
-    number: int
-    name: str
-    host: str
-    port: int
-
-
-def number_of(name: str) -> int:
-    """The module's number for a box: alike at every router, as it picks a title's first holder by it.
-
-    An id of the platform's form holds the number that the simulator gives the same box, so both programs
-    begin a title at the same holder.  Any other id is hashed, to a number that no such id has.
-    """
-    if PLATFORM_ID.fullmatch(name):
-        return int(name[2:], 16)
-    return 1 << 32 | int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big")
-
-
-def parse_instance(row: dict[str, Any]) -> tuple[Box, api.ServerListing]:
-    name = str(row["instanceId"])
-    host, port = address(str(row["hostPort"]))
-    number = number_of(name)
-    weight = row.get("weight")
-    listing = api.ServerListing(
-        server=number, cell=int(row.get("cell") or 0), zone=str(row.get("zone") or ""),
-        kind=str(row.get("machineType") or ""), health=HEALTH[str(row["lifecycle"])],
-        weight=1.0 if weight is None else float(weight),
-        started_us=round(float(row.get("startedAtMs") or 0) * 1000.0))
-    return Box(number, name, host, port), listing
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    seq: int
-    full: bool
-    rows: tuple[tuple[Box, api.ServerListing], ...]
-
-
-def parse_event(event: Any) -> Change | None:
-    """None for a kind of event that this version does not know."""
-    if not isinstance(event, dict) or not isinstance(event.get("seq"), int):
-        raise ValueError("an event has a number")
-    fleet = event.get("fleet")
-    if fleet is None:
-        return None
-    if not isinstance(fleet, dict) or not isinstance(fleet.get("instances"), list):
-        raise ValueError("a list has instances")
-    try:
-        rows = tuple(parse_instance(row) for row in fleet["instances"])
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"an instance is malformed: {error!r}") from error
-    return Change(event["seq"], bool(fleet.get("reset")), rows)
-
-
-class ChangeLogLine(BufferedReceiver):
+
+
+class WatchConnection(BufferedReceiver):
     MAX_LENGTH = LINE_MAX
     delimiter = b"\n"
 
-    def __init__(self, follower: ChangeLog) -> None:
+    def __init__(self, follower: DiscoveryWatch) -> None:
         super().__init__()
         self.follower = follower
 
@@ -115,27 +52,34 @@
 
     noisy = False
 
-    def __init__(self, follower: ChangeLog) -> None:
+    def __init__(self, follower: DiscoveryWatch) -> None:
         self.follower = follower
 
-    def buildProtocol(self, addr: Any) -> ChangeLogLine | None:
-        return ChangeLogLine(self.follower) if self.follower.current is self else None
+    def buildProtocol(self, addr: Any) -> WatchConnection | None:
+        return WatchConnection(self.follower) if self.follower.current is self else None
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         if self.follower.current is self:
             self.follower.failed()
 
 
-class ChangeLog:
+class DiscoveryWatch:
     """Follows the change log for good: resumes after the last event it has, takes silence for a break."""
 
     log = Logger()
 
-    def __init__(self, reactor: Any, where: tuple[str, int], seq: int, deadlines: Deadlines,
-                 tell: Callable[[Change], None], rng: random.Random) -> None:
-        self.reactor, self.where, self.seq = reactor, where, seq
+    def __init__(
+        self,
+        reactor: Any,
+        address: tuple[str, int],
+        seq: int,
+        deadlines: Deadlines,
+        tell: Callable[[ListUpdate], None],
+        rng: random.Random,
+    ) -> None:
+        self.reactor, self.address, self.seq = reactor, address, seq
         self.deadlines, self.tell, self.rng = deadlines, tell, rng
-        self.line: ChangeLogLine | None = None
+        self.connection: WatchConnection | None = None
         self.current: _Try | None = None
         self.connector: Any = None
         self.asked_again: tuple[int, int] | None = None  # a gap that the log has been asked to fill: its ends
@@ -161,29 +105,29 @@
             return
         self.watch = self.deadlines.after(CONNECT_MS, self.silent)
         self.current = _Try(self)
-        self.connector = self.reactor.connectTCP(*self.where, self.current, timeout=30)
+        self.connector = self.reactor.connectTCP(*self.address, self.current, timeout=30)
 
-    def follow(self, where: tuple[str, int]) -> None:
+    def follow(self, address: tuple[str, int]) -> None:
         """The log has moved: ask there at once for what comes after the last event.
 
         Guards against waiting for the old one, which tells nothing any more though it may stay open.
         """
-        if where == self.where:
+        if address == self.address:
             return
-        self.where, self.backoff_ms = where, BACKOFF_MS[0]
-        line, self.line = self.line, None
+        self.address, self.backoff_ms = address, BACKOFF_MS[0]
+        connection, self.connection = self.connection, None
         connector, self.connector, self.current = self.connector, None, None
         for key in (self.watch, self.pause):
             self.deadlines.cancel(key)
-        if line is not None:
-            line.drop()
+        if connection is not None:
+            connection.drop()
         elif connector is not None and connector.state == "connecting":
             connector.stopConnecting()
         self.start()
 
-    def connected(self, line: ChangeLogLine) -> None:
-        self.line = line
-        line.send(f"since {self.seq}\n".encode())
+    def connected(self, connection: WatchConnection) -> None:
+        self.connection = connection
+        connection.send(f"since {self.seq}\n".encode())
         self._watch(FIRST_LINE_MS)
 
     def _watch(self, limit_ms: float) -> None:
@@ -193,12 +137,12 @@
     def silent(self) -> None:
         """Guards against a log that stands still on an open connection, or never takes a new one."""
         self.watch = None
-        if self.line is not None and self.line.unread:
+        if self.connection is not None and self.connection.unread:
             self._watch(UNREAD_MS)  # it has spoken while this process stood still
             return
         self.log.info("change log: silent, connecting anew after event {seq}", seq=self.seq)
-        if self.line is not None:
-            self.line.drop()
+        if self.connection is not None:
+            self.connection.drop()
         elif self.connector is not None:
             self.connector.stopConnecting()
 
@@ -206,9 +150,9 @@
         """The current try has come to nothing."""
         self._again()
 
-    def lost(self, line: ChangeLogLine) -> None:
-        if self.line is line:
-            self.line = None
+    def lost(self, connection: WatchConnection) -> None:
+        if self.connection is connection:
+            self.connection = None
             self._again()
 
     def _again(self) -> None:
@@ -217,34 +161,34 @@
             self.pause = self.deadlines.after(self.backoff_ms * self.rng.uniform(0.7, 1.0), self.start)
             self.backoff_ms = min(self.backoff_ms * 2, BACKOFF_MS[1])
 
-    def heard(self, line: ChangeLogLine, text: bytes) -> None:
-        if line is not self.line:
+    def heard(self, connection: WatchConnection, text: bytes) -> None:
+        if connection is not self.connection:
             return
         try:
             value = json.loads(text)
-            change = None if isinstance(value, int) else parse_event(value)
+            change = None if isinstance(value, int) else parse_update(value)
         except ValueError as error:
             self.log.error("change log: {error}", error=str(error)[:200])
-            line.drop()
+            connection.drop()
             return
         self._watch(SILENT_MS)
         last = value if isinstance(value, int) else value["seq"]
         if isinstance(value, int) or len(value) == 1:  # the last number alone: the heartbeat
-            self._heartbeat(line, last)
-        elif last > self.seq and not self._asks_again(line, last, change):
+            self._heartbeat(connection, last)
+        elif last > self.seq and not self._asks_again(connection, last, change):
             self.seq, self.backoff_ms = last, BACKOFF_MS[0]
             if change is not None:
                 self.tell(change)
 
-    def _heartbeat(self, line: ChangeLogLine, last: int) -> None:
+    def _heartbeat(self, connection: WatchConnection, last: int) -> None:
         """Guards against calls without pause at a log that is ahead of what it tells."""
         if last > self.seq:  # events are missing: ask for them again
-            line.drop()
+            connection.drop()
         else:
             self.backoff_ms = BACKOFF_MS[0]
             self._caught_up()
 
-    def _asks_again(self, line: ChangeLogLine, last: int, change: Change | None) -> bool:
+    def _asks_again(self, connection: WatchConnection, last: int, change: ListUpdate | None) -> bool:
         """Guards against events that got lost: a gap is asked for once more, and taken if it is told again.
         A whole list leaves no gap."""
         gap = self.seq, last
@@ -252,5 +196,5 @@
             return False
         self.asked_again = gap
         self.log.info("change log: event {last} after {seq}, asks again", last=last, seq=self.seq)
-        line.drop()
+        connection.drop()
         return True
--- a/cloverhinge/hls/boxes.py
+++ b/cloverhinge/hls/boxes.py
@@ -32,8 +32,8 @@
 from cloverhinge.core.model import Attempt, Cause, Request
 from cloverhinge.core.router import Router
 from cloverhinge.decision.interface import Outcome
+from cloverhinge.discovery.updates import ServerAddress
 from cloverhinge.hls import manifests
-from cloverhinge.net.changelog import Box
 
 FETCH_MS = 1500.0
 RELEASE_TRIES = 4
@@ -144,7 +144,8 @@
     log = Logger()
 
     def __init__(self, reactor: Any, router: Router, deadlines: Deadlines, connect_ms: float,
-                 boxes: dict[int, Box], port: int, named: dict[str, tuple[str, int]], most: int) -> None:
+                 boxes: dict[int, ServerAddress], port: int, named: dict[str, tuple[str, int]], most: int,
+                 ) -> None:
         self.reactor, self.router, self.deadlines, self.connect_ms = reactor, router, deadlines, connect_ms
         self.boxes, self.port, self.named, self.most = boxes, port, named, most
         self.pool = HTTPConnectionPool(reactor, persistent=True)
--- a/cloverhinge/net/__init__.py
+++ b/cloverhinge/net/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's wire: RTSP to viewers and pumps, and the change log."""
+"""Connections with one buffer each, for every wire of the platform."""
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -25,9 +25,10 @@
 from cloverhinge.core.router import Router
 from cloverhinge.core.told import ConfigError
 from cloverhinge.decision import interface as api
-from cloverhinge.net.changelog import Box, Change, ChangeLog
-from cloverhinge.net.front import Front
-from cloverhinge.net.pumps import Pumps
+from cloverhinge.discovery.updates import ListUpdate, ServerAddress
+from cloverhinge.discovery.watch import DiscoveryWatch
+from cloverhinge.rtsp.front import Front
+from cloverhinge.rtsp.media_servers import MediaServers
 from cloverhinge.shutdown import Hooks, Phase, Shutdown
 from cloverhinge.site import AcmeSite, HlsSite, Site
 
@@ -59,11 +60,12 @@
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         self.router = Router(config.settings, config.seed, self.clock, self.deadlines)
-        self.pumps = Pumps(reactor, self.router, self.clock, self.deadlines, config.connect_ms,
-                           config.idle_ms, config.sockets)
-        self.front = Front(self.router, self.pumps, self.clock, self.deadlines, most=config.sockets * 3 // 8)
-        self.boxes: dict[int, Box] = {}
-        self.changelog = ChangeLog(reactor, config.changelog, config.seq, self.deadlines, self.change,
+        self.media_servers = MediaServers(reactor, self.router, self.clock, self.deadlines,
+                                          config.connect_ms, config.idle_ms, config.sockets)
+        self.front = Front(self.router, self.media_servers, self.clock, self.deadlines,
+                           most=config.sockets * 3 // 8)
+        self.boxes: dict[int, ServerAddress] = {}
+        self.discovery = DiscoveryWatch(reactor, config.changelog, config.seq, self.deadlines, self.change,
                                    random.Random(config.seed))
         self.shutdown = Shutdown(
             config.name, self.front, self.router, self.deadlines, self._longest_ms(),
@@ -88,7 +90,7 @@
             folder = os.environ.get("TMPDIR")
             self.operation = Operation(reactor, config.name, config.mgmt, Path(folder) if folder else None,
                                        config.sockets, self.router, self.deadlines)
-            self.operation.shared = self.pumps.share
+            self.operation.shared = self.media_servers.share
         if site.members is not None:
             from cloverhinge.members.link import Link  # loaded only where there are other routers
 
@@ -97,11 +99,11 @@
         self.custody: Any = None  # of work in hand, where it is wanted
         if site.custody is not None:
             from cloverhinge.custody.part import Part as Custody  # loaded only where routers keep work
-            from cloverhinge.net.custody import KeptSessions
+            from cloverhinge.rtsp.custody import KeptSessions
 
             self.custody = Custody(site.custody, self.members, self.router, self.clock, self.deadlines,
                                    config.seed, None if site.store is None else site.store.folder)
-            KeptSessions(self.custody, self.router, self.front, self.pumps)
+            KeptSessions(self.custody, self.router, self.front, self.media_servers)
             if self.gate is not None and site.door is not None:
                 from cloverhinge.door.custody import KeptPromises
 
@@ -112,8 +114,8 @@
     def start(self) -> None:
         for at, change in enumerate(self.config.known):
             self.change(change, api.ListKind.CACHED if at == 0 else None)
-        self.changelog.start()
-        self.pumps.start()
+        self.discovery.start()
+        self.media_servers.start()
         self.front.start()
         if self.operation is not None:
             self.operation.start()
@@ -126,7 +128,7 @@
             os.set_blocking(self.config.listener, False)
             self.port = reactor.adoptStreamPort(self.config.listener, socket.AF_INET, self.front)
             self.port.stopReading()  # until the list is known: another process may serve meanwhile
-            self.changelog.when_caught_up(self._serve, CAUGHT_UP_MS)
+            self.discovery.when_caught_up(self._serve, CAUGHT_UP_MS)
 
     def _serve(self) -> None:
         if self.stopping:
@@ -211,13 +213,13 @@
         if self.keeper is not None:
             certificate = {"domains": list(self.keeper.site.domains), "expires_ms": self.keeper.expires_ms,
                            "error": self.keeper.error}
-        return snapshot(self.config.name, self.router, self.pumps, self.boxes, self.started_ms, certificate,
-                        len(self.plays.table) if self.plays is not None else 0,
+        return snapshot(self.config.name, self.router, self.media_servers, self.boxes, self.started_ms,
+                        certificate, len(self.plays.table) if self.plays is not None else 0,
                         self.gate.status() if self.gate is not None else []
                         ) | {part.key: part.status() for part in self.parts
                              } | ({} if self.operation is None else {"operation": self.operation.status()})
 
-    def change(self, change: Change, kind: api.ListKind | None = None) -> None:
+    def change(self, change: ListUpdate, kind: api.ListKind | None = None) -> None:
         """A list, or a change of one: the router first, as it says what may still be written to."""
         if change.full and not change.rows and self.boxes:
             change, kind = self._all_draining(change), api.ListKind.DELTA
@@ -231,11 +233,11 @@
             if listing.health is not api.Health.GONE:
                 self.boxes[box.number] = box
         self.router.fleet(kind, (listing for _, listing in change.rows))
-        self.pumps.follow(self.boxes)
+        self.media_servers.follow(self.boxes)
         self.log.info("list {seq}: {rows} boxes changed, {boxes} listed", seq=change.seq,
                       rows=len(change.rows), boxes=len(self.boxes))
 
-    def _all_draining(self, change: Change) -> Change:
+    def _all_draining(self, change: ListUpdate) -> ListUpdate:
         """Guards what plays against a whole list that is empty, which may be a fault of the log: nothing new
         is sent to any server until it is told again, and no session is ended."""
         self.log.warn("list {seq} is empty: nothing new is sent to the {boxes} servers known", seq=change.seq,
@@ -257,8 +259,8 @@
             self.log.error("{name}: keeps its configuration: {error}", name=self.config.name,
                            error=str(error)[:500])
             return
-        self.pumps.connect_ms, self.pumps.idle_ms = told.connect_ms, told.idle_ms
-        self.changelog.follow(told.changelog)
+        self.media_servers.connect_ms, self.media_servers.idle_ms = told.connect_ms, told.idle_ms
+        self.discovery.follow(told.changelog)
         self.log.info("{name}: configuration read anew, change log at {host}:{port}", name=self.config.name,
                       host=told.changelog[0], port=told.changelog[1])
 
--- a/cloverhinge/operation/part.py
+++ b/cloverhinge/operation/part.py
@@ -13,7 +13,7 @@
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
 from cloverhinge.decision.beside import known, seats_elsewhere, share, take_over
-from cloverhinge.net.changelog import number_of
+from cloverhinge.discovery.updates import server_number
 from cloverhinge.operation import calls
 from cloverhinge.operation.bans import Bans
 from cloverhinge.operation.beside import Beside
@@ -117,9 +117,9 @@
     def _obey(self, changed: dict[str, bool]) -> None:
         for name, out in changed.items():
             if out:
-                self.router.leave_out(number_of(name), self.bans.records[name].at_ms)
+                self.router.leave_out(server_number(name), self.bans.records[name].at_ms)
             else:
-                self.router.put_back(number_of(name))
+                self.router.put_back(server_number(name))
             self.log.info("box {box}: {what}", box=name, what="left out by hand" if out else "put back")
 
     def _merge(self) -> None:
--- /dev/null
+++ b/cloverhinge/rtsp/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's RTSP: its messages, the front towards clients, and the connections to media servers."""
--- a/cloverhinge/net/custody.py
+++ b/cloverhinge/rtsp/custody.py
@@ -7,16 +7,17 @@
 from cloverhinge.custody.kept import Kept, read
 from cloverhinge.custody.part import BY_NAME as LETTER
 from cloverhinge.custody.part import Part
-from cloverhinge.net.front import Front, RtspViewer
-from cloverhinge.net.pumps import Pumps
+from cloverhinge.rtsp.client import RtspClient
+from cloverhinge.rtsp.front import Front
+from cloverhinge.rtsp.media_servers import MediaServers
 
 
 class KeptSessions:
     """The front's side of custody."""
 
-    def __init__(self, part: Part, router: Router, front: Front, pumps: Pumps) -> None:
-        self.part, self.router, self.front, self.pumps = part, router, front, pumps
-        pumps.handed_on = part.handed.__contains__
+    def __init__(self, part: Part, router: Router, front: Front, servers: MediaServers) -> None:
+        self.part, self.router, self.front, self.servers = part, router, front, servers
+        servers.handed_on = part.handed.__contains__
         front.kept_answer = self.answer
         part.serve(LETTER, self)
 
@@ -37,8 +38,8 @@
     def adopt(self, id: str, kept: Kept) -> bool:
         if kept.name in self.router.by_name:
             return True  # it is here, or its viewer is, and is told of it
-        viewer = RtspViewer(self.front, 0, kept.peer, kept.name)
-        request = self.part.carry(kept.ask(), kept, viewer, self.pumps)
+        viewer = RtspClient(self.front, 0, kept.peer, kept.name)
+        request = self.part.carry(kept.ask(), kept, viewer, self.servers)
         if request is not None:
             viewer.stands(True)
         return request is not None
@@ -49,4 +50,4 @@
     def let_go(self, kept: Kept) -> None:
         """Not while a viewer of that very session is here: its set-up has the same name."""
         if kept.name not in self.router.by_name:
-            self.pumps.let_go(kept.server, kept.name)
+            self.servers.let_go(kept.server, kept.name)
--- a/cloverhinge/net/intake.py
+++ b/cloverhinge/rtsp/intake.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from cloverhinge.core.deadlines import Deadlines
-from cloverhinge.net import rtsp
+from cloverhinge.rtsp import messages
 
 TURN_MS = 10.0  # set-ups are begun for so long before other connections are read; a few of them
 QUEUED_MOST = 256  # set-ups of one connection; beyond that nothing is read from it until some have begun
@@ -23,7 +23,7 @@
 class SetUp:
     """A set-up as it was read, and when."""
 
-    message: rtsp.Message
+    message: messages.Message
     read_ms: float
 
 
--- a/cloverhinge/net/rtsp.py
+++ b/cloverhinge/rtsp/messages.py
@@ -12,9 +12,19 @@
 SESSION = re.compile(r"[0-9a-fA-F]{16}")
 METHOD = re.compile(r"[A-Z_]{1,32}")
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 413: "Request Entity Too Large",
-           455: "Method Not Valid in This State", 500: "Internal Server Error", 501: "Not Implemented",
-           503: "Service Unavailable", 504: "Gateway Timeout", 505: "RTSP Version Not Supported"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    403: "Forbidden",
+    404: "Not Found",
+    413: "Request Entity Too Large",
+    455: "Method Not Valid in This State",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "RTSP Version Not Supported",
+}
 
 
 class Malformed(ValueError):
@@ -85,13 +95,15 @@
     return int(text)
 
 
-def request(method: str, uri: str, cseq: int, session: str, fields: dict[str, str] | None = None,
-            body: bytes = b"") -> bytes:
+def request(
+    method: str, uri: str, cseq: int, session: str, fields: dict[str, str] | None = None, body: bytes = b""
+) -> bytes:
     return _compose(f"{method} {uri} {VERSION}", str(cseq), session, fields, body)
 
 
-def response(status: int, cseq: str, session: str, fields: dict[str, str] | None = None,
-             body: bytes = b"") -> bytes:
+def response(
+    status: int, cseq: str, session: str, fields: dict[str, str] | None = None, body: bytes = b""
+) -> bytes:
     return _compose(f"{VERSION} {status} {REASONS.get(status, 'Other')}", cseq, session, fields, body)
 
 
--- a/cloverhinge/shutdown.py
+++ b/cloverhinge/shutdown.py
@@ -21,7 +21,7 @@
 
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
-from cloverhinge.net.front import Front
+from cloverhinge.rtsp.front import Front
 
 ACCEPT_MS = 700.0  # requests keep coming for so long after SIGTERM at the most
 REST_PACE_MS = 10.0  # pace at which connections are looked at for a moment of rest
@@ -98,9 +98,9 @@
     def _accept_all(self, listener: Listener) -> None:
         """Guards against resets of connections that were made while the process was busy."""
         for _ in range(ACCEPTED_MOST):
-            before = self.front.connections
+            before = self.front.open_connections
             listener.doRead()
-            if self.front.connections == before:
+            if self.front.open_connections == before:
                 return
 
     def _close(self) -> None:
@@ -110,12 +110,12 @@
 
     def _end_connections(self) -> None:
         now = self.deadlines.clock.now()
-        left = self.front.hand_on(now)
-        if (left or self.front.connections or self.router.open) and now < self.until_ms:
+        left = self.front.close_at_rest(now)
+        if (left or self.front.open_connections or self.router.open) and now < self.until_ms:
             self.deadlines.after(REST_PACE_MS, self._end_connections)
             return
         self.log.info("{name}: ends, {left} connections and {open} requests left", name=self.name,
-                      left=self.front.connections, open=self.router.open)
+                      left=self.front.open_connections, open=self.router.open)
         self.phase = Phase.LEAVING
         self.hooks.ended()
         self._leave(now + TAKE_OVER_MS)
--- a/tests/operation_guards.py
+++ b/tests/operation_guards.py
@@ -8,13 +8,13 @@
 
 from cloverhinge.core.router import Router
 from cloverhinge.decision.state import Limit, Server
-from cloverhinge.net import pumps
-from cloverhinge.net.changelog import ChangeLog
-from cloverhinge.net.front import Front
+from cloverhinge.discovery.watch import DiscoveryWatch
 from cloverhinge.operation import part
 from cloverhinge.operation.beside import Beside
 from cloverhinge.operation.desk import Caller, Desk
 from cloverhinge.operation.shelf import Shelf
+from cloverhinge.rtsp import server_pool
+from cloverhinge.rtsp.front import Front
 
 
 def lists_decide() -> None:
@@ -42,20 +42,20 @@
 
 
 def old_list() -> None:
-    ChangeLog.when_caught_up = lambda self, call, most_ms: call()  # type: ignore[method-assign]
+    DiscoveryWatch.when_caught_up = lambda self, call, most_ms: call()  # type: ignore[method-assign]
 
 
 def cuts_off() -> None:
     def at_once(self: Front, now: float) -> int:
-        for line in self.lines:
+        for line in self.connections:
             line.close()
         return 0
 
-    Front.hand_on = at_once  # type: ignore[method-assign]
+    Front.close_at_rest = at_once  # type: ignore[method-assign]
 
 
 def hasty() -> None:
-    pumps.REFUSED_MS = 0.0
+    server_pool.REFUSED_MS = 0.0
 
 
 def counted_twice() -> None:
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -10,9 +10,9 @@
 from cloverhinge.core.model import Ask, Boxes, Viewer
 from cloverhinge.core.router import Router
 from cloverhinge.lab.stand import answer, ask, site
-from cloverhinge.net import rtsp
-from cloverhinge.net.front import Front
-from cloverhinge.net.intake import QUEUED_BYTES_MOST, QUEUED_MOST, TURN_MS, Intake, Queue, SetUp
+from cloverhinge.rtsp import messages
+from cloverhinge.rtsp.front import Front
+from cloverhinge.rtsp.intake import QUEUED_BYTES_MOST, QUEUED_MOST, TURN_MS, Intake, Queue, SetUp
 from tests.helpers import settings
 from tests.test_rtsp import Transport
 
@@ -20,11 +20,11 @@
 
 
 def message(number: int, body: bytes = b"") -> SetUp:
-    return SetUp(rtsp.Message("SETUP", "rtsp://media/x", 0, {"session": f"{number:016x}"}, body), 0.0)
+    return SetUp(messages.Message("SETUP", "rtsp://media/x", 0, {"session": f"{number:016x}"}, body), 0.0)
 
 
 def set_up(number: int) -> bytes:
-    return rtsp.request("SETUP", "rtsp://media/title", 1, f"{number:016x}", {
+    return messages.request("SETUP", "rtsp://media/title", 1, f"{number:016x}", {
         "X-Call-Class": "film", "X-Ring-Limit": "3000", "X-Dest": "home:0;copies:3;top:1"}, b"v=0")
 
 
--- a/tests/test_changelog.py
+++ b/tests/test_list_updates.py
@@ -10,7 +10,8 @@
 from cloverhinge.core.clock import ManualClock
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.decision.interface import Health
-from cloverhinge.net.changelog import Change, ChangeLog, ChangeLogLine, number_of, parse_event
+from cloverhinge.discovery.updates import ListUpdate, parse_update, server_number
+from cloverhinge.discovery.watch import DiscoveryWatch, WatchConnection
 
 ROW: dict[str, Any] = {"instanceId": "s-00c41f7a", "hostPort": "10.1.0.9:5060", "zone": "east",
                        "machineType": "std", "cell": 2, "lifecycle": "leaving", "weight": 4,
@@ -19,20 +20,20 @@
 
 def test_a_platform_id_holds_the_number_that_the_simulator_gives() -> None:
     """Guards against titles that begin at other holders than in the simulator, which moved a day by 0.08."""
-    assert number_of("s-00c41f7a") == 0x00c41f7a
-    others = [number_of(name) for name in ("s-00c41f7A", "s-00c41f7a0", "box-1", "box-2")]
+    assert server_number("s-00c41f7a") == 0x00c41f7a
+    others = [server_number(name) for name in ("s-00c41f7A", "s-00c41f7a0", "box-1", "box-2")]
     assert len(set(others)) == 4 and min(others) >= 1 << 32
 
 
 def test_an_event_is_read_whole() -> None:
-    change = parse_event({"seq": 41, "fleet": {"generation": 7, "reset": True, "instances": [ROW]}})
+    change = parse_update({"seq": 41, "fleet": {"generation": 7, "reset": True, "instances": [ROW]}})
     assert change is not None and (change.seq, change.full) == (41, True)
     box, listing = change.rows[0]
     assert (box.name, box.host, box.port) == ("s-00c41f7a", "10.1.0.9", 5060)
     assert (listing.server, listing.cell, listing.kind, listing.health) == (
         box.number, 2, "std", Health.DRAINING)
     assert (listing.weight, listing.started_us) == (4.0, 1_500_000)
-    assert parse_event({"seq": 42, "unheard": {}}) is None
+    assert parse_update({"seq": 42, "unheard": {}}) is None
 
 
 @pytest.mark.parametrize("event", [
@@ -41,19 +42,19 @@
     {"seq": 1, "fleet": {"instances": [{**ROW, "hostPort": "nowhere"}]}}])
 def test_what_is_no_event_is_refused(event: Any) -> None:
     with pytest.raises(ValueError):
-        parse_event(event)
+        parse_update(event)
 
 
 @pytest.mark.parametrize("last", [b"1", b'{"seq":1}'])
 def test_the_last_number_alone_is_the_heartbeat_in_either_form(last: bytes) -> None:
     """Guards the wait of a new version, and events that a heartbeat runs ahead of."""
-    deadlines, told, done = Deadlines(ManualClock()), list[Change](), list[bool]()
-    log = ChangeLog(None, ("127.0.0.1", 1), 0, deadlines, told.append, random.Random(1))
-    log.line = line = ChangeLogLine(log)
+    deadlines, told, done = Deadlines(ManualClock()), list[ListUpdate](), list[bool]()
+    log = DiscoveryWatch(None, ("127.0.0.1", 1), 0, deadlines, told.append, random.Random(1))
+    log.connection = line = WatchConnection(log)
     log.when_caught_up(lambda: done.append(True), 3000.0)
     log.heard(line, last)
     assert line.gone and not done and log.seq == 0  # an event is missing: it is asked for again
-    log.line = line = ChangeLogLine(log)
+    log.connection = line = WatchConnection(log)
     log.heard(line, b'{"seq":1,"fleet":{"reset":true,"instances":[]}}')
     assert not done
     log.heard(line, last)
@@ -64,7 +65,7 @@
 def test_a_change_log_that_says_nothing_is_not_waited_for_without_end() -> None:
     clock, done = ManualClock(), list[bool]()
     deadlines = Deadlines(clock)
-    log = ChangeLog(None, ("127.0.0.1", 1), 0, deadlines, lambda change: None, random.Random(1))
+    log = DiscoveryWatch(None, ("127.0.0.1", 1), 0, deadlines, lambda change: None, random.Random(1))
     log.when_caught_up(lambda: done.append(True), 3000.0)
     clock.advance(2999.0)
     deadlines.run()
--- a/tests/test_pumps.py
+++ b/tests/test_media_servers.py
@@ -12,8 +12,9 @@
 from cloverhinge.core.model import Ask, Viewer
 from cloverhinge.core.router import Router
 from cloverhinge.decision import interface as api
-from cloverhinge.net.changelog import Box
-from cloverhinge.net.pumps import PumpLine, Pumps
+from cloverhinge.discovery.updates import ServerAddress
+from cloverhinge.rtsp.media_servers import MediaServers
+from cloverhinge.rtsp.server_connection import ServerConnection
 from tests.helpers import settings
 from tests.test_rtsp import Transport
 
@@ -49,19 +50,20 @@
         self.clock, self.reactor = ManualClock(), Reactor()
         self.deadlines = Deadlines(self.clock)
         self.router = Router(settings(), 1, self.clock, self.deadlines)
-        self.pumps = Pumps(self.reactor, self.router, self.clock, self.deadlines, 250.0, 30_000.0, 384)
+        self.servers = MediaServers(self.reactor, self.router, self.clock, self.deadlines,
+                                    250.0, 30_000.0, 384)
         self.router.fleet(api.ListKind.FULL, [api.ServerListing(n, n, kind="box") for n in range(boxes)])
-        self.pumps.follow({n: Box(n, f"box-{n}", "127.0.0.1", 1) for n in range(boxes)})
-        self.pumps.start()
+        self.servers.follow({n: ServerAddress(n, f"box-{n}", "127.0.0.1", 1) for n in range(boxes)})
+        self.servers.start()
 
     def carry(self, server: int) -> Viewing:
         viewer = Viewing()
         ask = Ask(f"{server:016x}", "film", "title", 0, 3, 1, 0.0)
-        assert self.router.carry(ask, server, cast(Viewer, viewer), self.pumps)
+        assert self.router.carry(ask, server, cast(Viewer, viewer), self.servers)
         return viewer
 
-    def up(self) -> PumpLine:
-        line = cast(PumpLine, self.reactor.factories[-1].buildProtocol(None))
+    def up(self) -> ServerConnection:
+        line = cast(ServerConnection, self.reactor.factories[-1].buildProtocol(None))
         cast(Any, line).makeConnection(cast(Any, Transport)())
         return line
 
@@ -99,7 +101,7 @@
     assert len(stand.reactor.factories) == 2
     check = stand.up()
     stand.pass_time(500)
-    assert stand.pumps.pumps[1].lines == [line] and line.closing_ms is None and check.closing_ms
+    assert stand.servers.pools[1].connections == [line] and line.closing_ms is None and check.closing_ms
 
 
 def test_a_silent_pump_s_sessions_are_lost_within_8_s() -> None:
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -18,8 +18,10 @@
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import Table
 from cloverhinge.lab.stand import Message, Pump, Wire, answer, ask, site
-from cloverhinge.net import rtsp
-from cloverhinge.net.front import Front, RtspViewer, ViewerLine
+from cloverhinge.rtsp import messages
+from cloverhinge.rtsp.client import RtspClient
+from cloverhinge.rtsp.client_connection import ClientConnection
+from cloverhinge.rtsp.front import Front
 from tests.helpers import settings
 from tests.test_rtsp import Transport
 
@@ -77,25 +79,25 @@
 def test_who_makes_room_is_found_without_a_look_at_all_connections() -> None:
     """Guards the loop: a look at 500 lines for each of 7,000 connections took a fifth of a day's CPU."""
 
-    class Unseen(Table[ViewerLine]):
-        def __iter__(self) -> Iterator[ViewerLine]:
+    class Unseen(Table[ClientConnection]):
+        def __iter__(self) -> Iterator[ClientConnection]:
             raise AssertionError("all lines are looked at")
 
     clock, boxes = ManualClock(), cast(Boxes, None)
     deadlines = Deadlines(clock)
     front = Front(Router(settings(), 1, clock, deadlines), boxes, clock, deadlines, most=4)
-    front.lines = Unseen(4)
+    front.connections = Unseen(4)
 
-    def connect(spoken: bool) -> ViewerLine:
+    def connect(spoken: bool) -> ClientConnection:
         line, made = front.buildProtocol(None), cast(Any, Transport)()
         assert line is not None
         cast(Any, line).makeConnection(made)
         if spoken:
-            line.dataReceived(rtsp.request("OPTIONS", "rtsp://media/ping", 3, "00000000000000aa"))
+            line.dataReceived(messages.request("OPTIONS", "rtsp://media/ping", 3, "00000000000000aa"))
         return line
 
     holding, resting, silent, later = (connect(spoken) for spoken in (True, True, False, False))
-    RtspViewer(front, holding.handle, holding.peer, "s").stands(True)
+    RtspClient(front, holding.handle, holding.peer, "s").stands(True)
     for goes in (silent, later, resting):
         assert not goes.gone
         connect(True)
--- a/tests/test_rtsp.py
+++ b/tests/test_rtsp.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from twisted.internet.testing import StringTransport
 
-from cloverhinge.net import rtsp
-from cloverhinge.net.front import read_ask
+from cloverhinge.rtsp import messages
+from cloverhinge.rtsp.set_up import read_set_up
 
 SETUP = (b"SETUP rtsp://media/7f3a RTSP/1.0\r\nCSeq: 1\r\nSession: 9b1f03aa5c7e2d41\r\nX-Call-Class: paid\r\n"
          b"X-Ring-Limit: 1500\r\nX-Dest: home:4;copies:3;top:2;viewer:aa;again:1\r\nContent-Length: 9\r\n\r\n"
@@ -34,10 +34,10 @@
         pass
 
 
-class Reader(rtsp.RtspProtocol):
+class Reader(messages.RtspProtocol):
     def __init__(self) -> None:
         super().__init__()
-        self.seen: list[rtsp.Message] = []
+        self.seen: list[messages.Message] = []
         transport: Any = Transport
         self.connect(transport())
 
@@ -45,7 +45,7 @@
         connect: Any = self.makeConnection
         connect(transport)
 
-    def received(self, message: rtsp.Message) -> None:
+    def received(self, message: messages.Message) -> None:
         self.seen.append(message)
 
 
@@ -70,7 +70,7 @@
 def test_a_set_up_is_read_as_the_protocol_says() -> None:
     reader = Reader()
     reader.dataReceived(SETUP)
-    ask, at = read_ask(reader.seen[0])
+    ask, at = read_set_up(reader.seen[0])
     assert (ask.name, ask.class_name, ask.title, ask.first_cell, ask.copies, ask.ceiling, ask.wait_ms) == (
         "9b1f03aa5c7e2d41", "paid", "7f3a", 4, 3, 2, 1500.0)
     assert (ask.viewer, ask.returning, at, ask.body) == ("aa", True, "", b"a\r\nb\r\n\r\nc")
@@ -79,8 +79,8 @@
 def test_what_is_written_can_be_read() -> None:
     reader = Reader()
     name = "9b1f03aa5c7e2d41"
-    reader.dataReceived(rtsp.request("TEARDOWN", "rtsp://media/x", 2, name, {"Reason": "cause=16"}))
-    reader.dataReceived(rtsp.response(503, "1", name, {"X-Hold-Off": "800"}, b"body"))
+    reader.dataReceived(messages.request("TEARDOWN", "rtsp://media/x", 2, name, {"Reason": "cause=16"}))
+    reader.dataReceived(messages.response(503, "1", name, {"X-Hold-Off": "800"}, b"body"))
     assert reader.seen[0].headers["reason"] == "cause=16"
     assert (reader.seen[1].status, reader.seen[1].headers["x-hold-off"], reader.seen[1].body) == (
         503, "800", b"body")
