Members: who is no member puts no member of its name out, and of two that are none one comes in

Cause: `Members.received` took any message under the own name for proof of a member. Change: only what members say counts; of two processes that have not joined the higher run goes on.

--- a/cloverhinge/members/core.py
+++ b/cloverhinge/members/core.py
@@ -311,7 +311,8 @@
             return self._done()
         self.heard_since_pause = True
         if message.sender == self.name:
-            self._twin(now, message.run, came)
+            if not self._outranks(message):
+                self._twin(now, message.run, came)
             return self._done()
         match message:
             case Carry():
@@ -433,6 +434,13 @@
         if message.own is not None and held is not None:
             self._whole(now, held, message.run, message.number)
 
+    def _outranks(self, message: wire.Told) -> bool:
+        """Guards against two of one name that each give way to the other: who is no member puts no member
+        out, and of two that are none the higher run goes on.  A stray tells of no membership."""
+        if isinstance(message, Welcome) and not message.joined:
+            return self.joined or message.run < self.run
+        return isinstance(message, Stray)
+
     def _twin(self, now: float, run: int, came: Address | None) -> None:
         """Another living process has this name.  The one that came later, or has the lower run, gives way."""
         if now < self.shut_until_ms:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -217,6 +217,31 @@
     assert twin.members.joined and world.agreed([world.routers[0], twin, *world.routers[2:]])
 
 
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_member_stays_though_a_process_of_its_name_answers_in_another_s_place(seed: int) -> None:
+    """Members go on calling the address of one that died; the answer of who is no member puts nobody out."""
+    world = begun(4, seed)
+    world.routers[3].kill()
+    world.net.run(5000.0)
+    twin = Router(world, "r001", "s0", world.routers[3].address, world.routers[1].join)
+    world.by_address[twin.address] = twin
+    twin.start()
+    world.net.run(12_000.0)
+    assert world.routers[1].members.joined and not twin.members.joined
+    assert world.agreed(world.routers[:3])
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_of_two_that_start_with_one_name_one_comes_in(seed: int) -> None:
+    world = World(4, seed)
+    twin = Router(world, "r001", "s0", ("127.9.9.9", 7000), world.routers[1].join)
+    world.by_address[twin.address] = twin
+    for router in (*world.routers, twin):
+        router.start()
+    world.net.run(20_000.0)
+    assert world.routers[1].members.joined is not twin.members.joined
+
+
 def test_facts_reach_all_and_what_was_lost_is_healed() -> None:
     world = begun(16, way=Way(loss=0.3))
     with pytest.raises(ValueError, match="600 bytes, 512 at most"):
