--- a/cloverhinge/lab/viewers.py
+++ b/cloverhinge/lab/viewers.py
@@ -20,18 +20,33 @@
 
 
 @contextmanager
-def keeping(folder: Path, count: int, titles: int, idle_s: float, custody: bool = True,
-            stores: bool = False, **more: Any) -> Iterator[Rig]:
+def keeping(
+    folder: Path,
+    count: int,
+    titles: int,
+    idle_s: float,
+    custody: bool = True,
+    stores: bool = False,
+    **more: Any,
+) -> Iterator[Rig]:
     """Routers that keep each other's work, four media boxes, and a title for each play (`t0`, `t1`, ...).
 
     `stores`: each has a folder `store` beside its files.
     """
     boxes = [MediaBox(f"s-{n:08x}", n % 3) for n in range(4)]
-    lines = [*(["[custody]", f"routers = {count}"] if custody else []), "[hls]", 'listen = "127.0.0.1:0"',
-             f'key = "{SITE_KEY}"', f"idle_s = {idle_s}", "manifest_kb = 64", "[hls.boxes]",
-             *(f'{x.name} = "{x.origin}"' for x in boxes), "[hls.titles]",
-             *(f"t{n} = {{ copies = 3 }}" for n in range(titles)),
-             *(["[store]", 'folder = "{folder}/store"'] if stores else [])]
+    lines = [
+        *(["[custody]", f"routers = {count}"] if custody else []),
+        "[hls]",
+        'listen = "127.0.0.1:0"',
+        f'key = "{SITE_KEY}"',
+        f"idle_s = {idle_s}",
+        "manifest_kb = 64",
+        "[hls.boxes]",
+        *(f'{x.name} = "{x.origin}"' for x in boxes),
+        "[hls.titles]",
+        *(f"t{n} = {{ copies = 3 }}" for n in range(titles)),
+        *(["[store]", 'folder = "{folder}/store"'] if stores else []),
+    ]
     with rig(folder, count, pumps=boxes, tables="\n".join(lines), **more) as made:
         if custody:
             until_rostered(made)
@@ -46,12 +61,18 @@
     def rostered() -> bool:
         numbers = set()
         for router in here:
-            lines = [x.told["line"] for x in made.record.of("log", router.name, router.begun_ms)
-                     if " custody: " in x.told["line"]]
+            lines = [
+                x.told["line"]
+                for x in made.record.of("log", router.name, router.begun_ms)
+                if " custody: " in x.told["line"]
+            ]
             roster = [x for x in lines if " custody: roster " in x]
             found = re.search(r"custody: roster (\d+): ([^;]*)", roster[-1]) if roster else None
-            if found is None or found[2] != names or not any(
-                    x.endswith(f"votes in roster {found[1]}") for x in lines):
+            if (
+                found is None
+                or found[2] != names
+                or not any(x.endswith(f"votes in roster {found[1]}") for x in lines)
+            ):
                 return False
             numbers.add(found[1])
         return len(numbers) == 1
@@ -84,8 +105,9 @@
     return get(made, router, f"/play/{kind}/t{number}?play=play-{number:08d}")
 
 
-def final(made: Rig, router: Router, number: int, kind: str = "paid",
-          seconds: float = SOON_S) -> tuple[int, str]:
+def final(
+    made: Rig, router: Router, number: int, kind: str = "paid", seconds: float = SOON_S
+) -> tuple[int, str]:
     """Comes back as long as it is told to; 410 for a playlist that ends."""
     deadline = time.monotonic() + seconds
     while True:
@@ -95,16 +117,23 @@
 
 
 def ask_for(wire: Wire, session: str, title: str, kind: str) -> None:
-    wire.send(f"SETUP rtsp://media/{title} RTSP/1.0", session, X_Call_Class=kind, X_Ring_Limit="2500",
-              X_Dest="home:0;copies:3;top:1")
-
-
-def set_up(made: Rig, router: Router, session: str, title: str,
-           kind: str = "paid") -> tuple[Wire, Message | None]:
+    wire.send(
+        f"SETUP rtsp://media/{title} RTSP/1.0",
+        session,
+        X_Call_Class=kind,
+        X_Ring_Limit="2500",
+        X_Dest="home:0;copies:3;top:1",
+    )
+
+
+def set_up(
+    made: Rig, router: Router, session: str, title: str, kind: str = "paid"
+) -> tuple[Wire, Message | None]:
     """An RTSP set-up on a connection of its own, and its answer."""
     wire = Wire(socket.create_connection(router.ports["listening"], WAIT_S))
     ask_for(wire, session, title, kind)
     answer = wire.read()
-    made.record.add("viewer", "answer", path=session, at=router.name,
-                    status=0 if answer is None else answer.status)
+    made.record.add(
+        "viewer", "answer", path=session, at=router.name, status=0 if answer is None else answer.status
+    )
     return wire, answer
--- a/cloverhinge/members/core.py
+++ b/cloverhinge/members/core.py
@@ -167,8 +167,16 @@
 class Members:
     """One router's membership.  `run` tells its starts apart, `seed` spreads its timers."""
 
-    def __init__(self, name: str, site: str, address: Address, join: tuple[Address, ...], run: int, seed: int,
-                 rules: Rules | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        site: str,
+        address: Address,
+        join: tuple[Address, ...],
+        run: int,
+        seed: int,
+        rules: Rules | None = None,
+    ) -> None:
         self.name, self.site, self.address, self.run = name, site, address, run
         self.rules = rules or Rules()
         self.join = tuple(x for x in join if x != address)
@@ -336,8 +344,9 @@
             case News():
                 self._merge(now, message)
                 if message.wanted:
-                    self._records_to(message, [self.table.records[x] for x in message.wanted
-                                               if x in self.table.records])
+                    self._records_to(
+                        message, [self.table.records[x] for x in message.wanted if x in self.table.records]
+                    )
             case Stray():
                 self._stray(now, message)
         return self._done()
@@ -418,8 +427,12 @@
                     self._enter(now)  # all start at once: nobody is there to be asked
                 return
             held = message.yours
-            if (held is not None and held.state is State.ALIVE and held.address != self.address
-                    and held.run != self.run):
+            if (
+                held is not None
+                and held.state is State.ALIVE
+                and held.address != self.address
+                and held.run != self.run
+            ):
                 if self._twin_at is None:  # does whoever has this name still live there?
                     self._twin_at, self._twin_until_ms = held.address, now + JOIN_MS
                     self._hello_to(held.address)
@@ -449,8 +462,13 @@
         if self.joined and run < self.run:
             self._out.append(Say(f"another router calls itself {self.name} too{where}: it gives way", True))
             return
-        self._out.append(Say(f"the name {self.name} is another living router's{where}: stays out of the "
-                             f"members, and asks again in {SHUT_MS / 1000:.0f} s", True))
+        self._out.append(
+            Say(
+                f"the name {self.name} is another living router's{where}: stays out of the "
+                f"members, and asks again in {SHUT_MS / 1000:.0f} s",
+                True,
+            )
+        )
         self.shut_until_ms, self.joined, self._twin_at = now + SHUT_MS, False, None
         self.own = msgspec.structs.replace(self.own, incarnation=1, hears=(), refused=())
         self.table, self.known, self.watches = Table(), {}, {}
@@ -492,9 +510,15 @@
                 self._twin_told = message.run
                 where = f"{message.host}:{message.port}"
                 self._out.append(Say(f"another router calls itself {self.name}, at {where}", True))
-            self._reply(message, Welcome(
-                nonce=message.nonce, joined=self.joined, own=self.own if self.joined else None,
-                yours=self.table.records.get(message.sender) if self.joined else None))
+            self._reply(
+                message,
+                Welcome(
+                    nonce=message.nonce,
+                    joined=self.joined,
+                    own=self.own if self.joined else None,
+                    yours=self.table.records.get(message.sender) if self.joined else None,
+                ),
+            )
             self._welcomes[self._number] = message.run
             trim(self._welcomes, PROVEN_MOST)
         elif not isinstance(message, Stray | Welcome):
@@ -569,8 +593,12 @@
     def _take(self, now: float, record: Record) -> None:
         held = self.table.records.get(record.name)
         if held is None:
-            self._adopt(now, record, "joined" if record.state is State.ALIVE else record.state.name.lower(),
-                        record.by or "by its own word")
+            self._adopt(
+                now,
+                record,
+                "joined" if record.state is State.ALIVE else record.state.name.lower(),
+                record.by or "by its own word",
+            )
             return
         alive = held.state is State.ALIVE
         if record.state is State.ALIVE:
@@ -579,8 +607,12 @@
                 what = "restarted" if held.run != record.run else "returned"
             self._adopt(now, record, what, "by its own word")
             return
-        if alive and record.state is State.DEAD and record.incarnation == held.incarnation \
-                and record.name in self._reached:
+        if (
+            alive
+            and record.state is State.DEAD
+            and record.incarnation == held.incarnation
+            and record.name in self._reached
+        ):
             # It is heard here, so the word is old or from the far side of a cut: it is told, and may object.
             known = self.known[record.name]
             if known.accused is None:
@@ -727,8 +759,12 @@
                 watch.next_ping_ms = now + self.rules.probe_ms * self.random.uniform(0.9, 1.1)
                 self._send(record, Ping(digest=self.table.digest, news=self._news()))
                 watch.sent(self._number, now)
-            if (not watch.knocking and now >= watch.next_knock_ms
-                    and watch.silent_ms(now) > KNOCK_AFTER * self.rules.probe_ms and not self._asking(now)):
+            if (
+                not watch.knocking
+                and now >= watch.next_knock_ms
+                and watch.silent_ms(now) > KNOCK_AFTER * self.rules.probe_ms
+                and not self._asking(now)
+            ):
                 watch.knocking = True
                 watch.next_knock_ms = now + KNOCK_MS
                 self.counters.knocks += 1
@@ -792,18 +828,33 @@
             reason = self._verdict(now, name, known, self._pair(name)[1])
             if reason:
                 dead = msgspec.structs.replace(
-                    self.table.records[name], state=State.DEAD, hears=(), refused=(), facts=b"",
-                    by=f"{self.name}: {reason}"[:256])
+                    self.table.records[name],
+                    state=State.DEAD,
+                    hears=(),
+                    refused=(),
+                    facts=b"",
+                    by=f"{self.name}: {reason}"[:256],
+                )
                 self._adopt(now, dead, "dead", dead.by)
-            elif not known.suspect and now - known.lost_ms >= SUSPECT_MS \
-                    and now - known.since_ms >= self.rules.quiet_ms:
+            elif (
+                not known.suspect
+                and now - known.lost_ms >= SUSPECT_MS
+                and now - known.since_ms >= self.rules.quiet_ms
+            ):
                 self._suspect(name, known, True, "heard by none that can be reached")
 
     def _suspect(self, name: str, known: Known, so: bool, reason: str) -> None:
         known.suspect = so
         known.since_ms = self._last_ms
-        self._out.append(Changed(name, "suspect" if so else "heard", reason,
-                                 self.table.records[name].incarnation, self.table.view()))
+        self._out.append(
+            Changed(
+                name,
+                "suspect" if so else "heard",
+                reason,
+                self.table.records[name].incarnation,
+                self.table.view(),
+            )
+        )
 
     def _verdict(self, now: float, name: str, known: Known, observers: frozenset[str]) -> str:
         """Why a member that nobody reaches is out, or "" while it is not."""
--- a/cloverhinge/members/link.py
+++ b/cloverhinge/members/link.py
@@ -104,8 +104,9 @@
     key = "members"
     transport: Any
 
-    def __init__(self, reactor: Any, site: MembersSite, name: str, clock: Clock, deadlines: Deadlines,
-                 seed: int) -> None:
+    def __init__(
+        self, reactor: Any, site: MembersSite, name: str, clock: Clock, deadlines: Deadlines, seed: int
+    ) -> None:
         self.reactor, self.site, self.name, self.clock, self.deadlines = reactor, site, name, clock, deadlines
         self.seal = wire.Seal(site.keys)
         self.random = random.Random(f"members {seed}")
@@ -128,11 +129,24 @@
         if self.site.advertise is None or self.site.advertise[1] == 0:
             self.address = (self.address[0], port)
         rules = core.Rules(self.site.probe_ms, self.site.quiet_ms, self.site.out_ms, self.site.watch)
-        self.members = core.Members(self.name, self.site.site, self.address, self.site.join,
-                                    secrets.randbits(62), self.random.getrandbits(62), rules)
-        self.log.info("{name}: members: listening on {host}:{port}, known as {told}:{at}, site {site}",
-                      name=self.name, host=host, port=port, told=self.address[0], at=self.address[1],
-                      site=self.site.site)
+        self.members = core.Members(
+            self.name,
+            self.site.site,
+            self.address,
+            self.site.join,
+            secrets.randbits(62),
+            self.random.getrandbits(62),
+            rules,
+        )
+        self.log.info(
+            "{name}: members: listening on {host}:{port}, known as {told}:{at}, site {site}",
+            name=self.name,
+            host=host,
+            port=port,
+            told=self.address[0],
+            at=self.address[1],
+            site=self.site.site,
+        )
         self._begun = True
         self._act(self.members.start(self.clock.now()), None)
         self.deadlines.after(self.random.uniform(0.0, core.TICK_MS), self._tick)
@@ -174,16 +188,32 @@
         for name in members.table.order:
             record = members.table.records[name]
             heard, unheard = members.reach(name)
-            rows.append({
-                "name": name, "site": record.site, "state": members.state(name),
-                "incarnation": record.incarnation, "since_ms": round(now - members.known[name].since_ms),
-                "reach": {"heard_by": heard, "not_heard_by": unheard}, "by": record.by,
-                "address": f"{record.host}:{record.port}",
-                "facts": msgspec.msgpack.decode(record.facts) if record.facts else {}})
-        return {"view": view.number, "digest": f"{view.digest:016x}", "in": len(view.names),
-                "whole": view.whole, "majority": view.majority, "joined": members.joined,
-                "trusted": members.trusted, "list": rows, "counters": asdict(members.counters),
-                "turned_away": members.table.turned_away, "refused": dict(self.troubles)}
+            rows.append(
+                {
+                    "name": name,
+                    "site": record.site,
+                    "state": members.state(name),
+                    "incarnation": record.incarnation,
+                    "since_ms": round(now - members.known[name].since_ms),
+                    "reach": {"heard_by": heard, "not_heard_by": unheard},
+                    "by": record.by,
+                    "address": f"{record.host}:{record.port}",
+                    "facts": msgspec.msgpack.decode(record.facts) if record.facts else {},
+                }
+            )
+        return {
+            "view": view.number,
+            "digest": f"{view.digest:016x}",
+            "in": len(view.names),
+            "whole": view.whole,
+            "majority": view.majority,
+            "joined": members.joined,
+            "trusted": members.trusted,
+            "list": rows,
+            "counters": asdict(members.counters),
+            "turned_away": members.table.turned_away,
+            "refused": dict(self.troubles),
+        }
 
     # The core's side
 
@@ -217,8 +247,9 @@
         self._told[kind, host] = now
         while len(self._told) > TOLD_MOST:
             self._told.popitem(last=False)
-        self.log.warn("{name}: members: refuses a message from {host}: {text}", name=self.name, host=host,
-                      text=text)
+        self.log.warn(
+            "{name}: members: refuses a message from {host}: {text}", name=self.name, host=host, text=text
+        )
 
     def _act(self, actions: list[core.Action], back: Frames | core.Address | None) -> None:
         for action in actions:
@@ -240,10 +271,18 @@
     def _tell(self, event: Event) -> None:
         match event:
             case core.Changed(name, what, reason, incarnation, view):
-                self.log.info("{own}: members: {name} {what}, incarnation {incarnation} ({reason}); "
-                              "view {number}:{digest} of {size}", own=self.name, name=name, what=what,
-                              incarnation=incarnation, reason=reason, number=view.number,
-                              digest=f"{view.digest:016x}", size=len(view.names))
+                self.log.info(
+                    "{own}: members: {name} {what}, incarnation {incarnation} ({reason}); "
+                    "view {number}:{digest} of {size}",
+                    own=self.name,
+                    name=name,
+                    what=what,
+                    incarnation=incarnation,
+                    reason=reason,
+                    number=view.number,
+                    digest=f"{view.digest:016x}",
+                    size=len(view.names),
+                )
             case core.Away(ms):
                 self.log.info("{name}: members: away for {ms} ms", name=self.name, ms=round(ms))
         for watcher in self.watchers:
--- a/cloverhinge/members/table.py
+++ b/cloverhinge/members/table.py
@@ -137,5 +137,5 @@
         """Up to `most` names from `after` on, and where the next slice begins ("": at the start)."""
         order = self.order
         at = bisect.bisect_left(order, after)
-        names = order[at:at + most]
+        names = order[at : at + most]
         return (order[at + most] if at + most < len(order) else ""), names
--- a/cloverhinge/members/watch.py
+++ b/cloverhinge/members/watch.py
@@ -56,8 +56,16 @@
 class Watch:
     """One member that this one watches."""
 
-    __slots__ = ("asked", "heard_ms", "knocking", "next_knock_ms", "next_ping_ms", "refusals", "refused_ms",
-                 "since_ms")
+    __slots__ = (
+        "asked",
+        "heard_ms",
+        "knocking",
+        "next_knock_ms",
+        "next_ping_ms",
+        "refusals",
+        "refused_ms",
+        "since_ms",
+    )
 
     def __init__(self, now: float, first_ping_ms: float) -> None:
         self.since_ms = now
--- a/cloverhinge/net/buffered.py
+++ b/cloverhinge/net/buffered.py
@@ -57,7 +57,7 @@
             else:
                 if len(self.buffer) - at < self.expected:
                     break
-                piece = bytes(self.buffer[at:at + self.expected])
+                piece = bytes(self.buffer[at : at + self.expected])
                 at += self.expected
                 self.rawDataReceived(piece)  # type: ignore[no-untyped-call]
         del self.buffer[:at]
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -60,18 +60,36 @@
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         self.router = Router(config.settings, config.seed, self.clock, self.deadlines)
-        self.media_servers = MediaServers(reactor, self.router, self.clock, self.deadlines,
-                                          config.connect_ms, config.idle_ms, config.sockets)
-        self.front = Front(self.router, self.media_servers, self.clock, self.deadlines,
-                           most=config.sockets * 3 // 8)
+        self.media_servers = MediaServers(
+            reactor,
+            self.router,
+            self.clock,
+            self.deadlines,
+            config.connect_ms,
+            config.idle_ms,
+            config.sockets,
+        )
+        self.front = Front(
+            self.router, self.media_servers, self.clock, self.deadlines, most=config.sockets * 3 // 8
+        )
         self.boxes: dict[int, ServerAddress] = {}
-        self.discovery = DiscoveryWatch(reactor, config.changelog, config.seq, self.deadlines, self.change,
-                                   random.Random(config.seed))
+        self.discovery = DiscoveryWatch(
+            reactor, config.changelog, config.seq, self.deadlines, self.change, random.Random(config.seed)
+        )
         self.shutdown = Shutdown(
-            config.name, self.front, self.router, self.deadlines, self._longest_ms(),
-            Hooks(listeners=self._listeners, closed=self._nothing_listens,
-                  owns=lambda: self.custody is not None and self.custody.busy, ended=self._ended,
-                  stop=reactor.stop))
+            config.name,
+            self.front,
+            self.router,
+            self.deadlines,
+            self._longest_ms(),
+            Hooks(
+                listeners=self._listeners,
+                closed=self._nothing_listens,
+                owns=lambda: self.custody is not None and self.custody.busy,
+                ended=self._ended,
+                stop=reactor.stop,
+            ),
+        )
         self.port: Any = None
         self.web_ports: list[Any] = []
         self.plays: Any = None  # of the HLS front, where there is one
@@ -88,8 +106,15 @@
             from cloverhinge.operation.part import Operation  # loaded only where the staff call
 
             folder = os.environ.get("TMPDIR")
-            self.operation = Operation(reactor, config.name, config.mgmt, Path(folder) if folder else None,
-                                       config.sockets, self.router, self.deadlines)
+            self.operation = Operation(
+                reactor,
+                config.name,
+                config.mgmt,
+                Path(folder) if folder else None,
+                config.sockets,
+                self.router,
+                self.deadlines,
+            )
             self.operation.shared = self.media_servers.share
         if site.members is not None:
             from cloverhinge.members.link import Link  # loaded only where there are other routers
@@ -101,8 +126,15 @@
             from cloverhinge.custody.part import Part as Custody  # loaded only where routers keep work
             from cloverhinge.rtsp.custody import KeptSessions
 
-            self.custody = Custody(site.custody, self.members, self.router, self.clock, self.deadlines,
-                                   config.seed, None if site.store is None else site.store.folder)
+            self.custody = Custody(
+                site.custody,
+                self.members,
+                self.router,
+                self.clock,
+                self.deadlines,
+                config.seed,
+                None if site.store is None else site.store.folder,
+            )
             KeptSessions(self.custody, self.router, self.front, self.media_servers)
             if self.gate is not None and site.door is not None:
                 from cloverhinge.door.custody import KeptPromises
@@ -134,17 +166,25 @@
         if self.stopping:
             return
         self.port.startReading()
-        self.log.info("{name}: listening on {host}:{port}, {boxes} boxes known", name=self.config.name,
-                      host=self.config.listen[0], port=self.port.getHost().port, boxes=len(self.boxes))
+        self.log.info(
+            "{name}: listening on {host}:{port}, {boxes} boxes known",
+            name=self.config.name,
+            host=self.config.listen[0],
+            port=self.port.getHost().port,
+            boxes=len(self.boxes),
+        )
         if self.site.admin is not None:
             commands: dict[str, Callable[[str], dict[str, Any]]] = (
-                {} if self.custody is None else {"custody": self.custody.look})
+                {} if self.custody is None else {"custody": self.custody.look}
+            )
             if self.operation is not None:
                 commands |= self.operation.commands()
-            admin = reactor.listenTCP(self.site.admin[1], Admin(self.status, commands),
-                                      interface=self.site.admin[0])
-            self.log.info("{name}: admin on 127.0.0.1:{port}", name=self.config.name,
-                          port=admin.getHost().port)
+            admin = reactor.listenTCP(
+                self.site.admin[1], Admin(self.status, commands), interface=self.site.admin[0]
+            )
+            self.log.info(
+                "{name}: admin on 127.0.0.1:{port}", name=self.config.name, port=admin.getHost().port
+            )
         if self.site.hls is not None:
             self._start_hls(self.site.hls, self.site.acme)
         for part in self.parts:
@@ -161,21 +201,41 @@
         router, host = self.router, self.config.listen[0]
         places = sum(router.settings.places_by_kind.get(x.kind, 0) for x in router.listings.values())
         web = [x.getHost() for x in self.web_ports]
-        self.members.publish({
-            "version": __version__, "rtsp": f"{host}:{self.port.getHost().port}",
-            "hls": [f"{x.host}:{x.port}" for x in web], "capacity": places, "open": router.open,
-            "load": sum(len(x) for x in router.standing.values())})
+        self.members.publish(
+            {
+                "version": __version__,
+                "rtsp": f"{host}:{self.port.getHost().port}",
+                "hls": [f"{x.host}:{x.port}" for x in web],
+                "capacity": places,
+                "open": router.open,
+                "load": sum(len(x) for x in router.standing.values()),
+            }
+        )
         self.deadlines.after(PUBLISH_MS, self._publish)
 
     def _start_hls(self, site: HlsSite, acme: AcmeSite | None) -> None:
         from cloverhinge.hls import front, plays  # loaded only where the front is wanted
         from cloverhinge.hls.boxes import HlsBoxes
 
-        boxes = HlsBoxes(reactor, self.router, self.deadlines, self.config.connect_ms, self.boxes,
-                         site.box_port, site.boxes, site.manifest_bytes)
+        boxes = HlsBoxes(
+            reactor,
+            self.router,
+            self.deadlines,
+            self.config.connect_ms,
+            self.boxes,
+            site.box_port,
+            site.boxes,
+            site.manifest_bytes,
+        )
         held = self.plays = plays.Plays(self.router, boxes, self.deadlines, site.idle_ms)
-        root = front.Front(site, self.router, boxes, held, self._proof,
-                           None if self.gate is None else self.gate.clients.identify)
+        root = front.Front(
+            site,
+            self.router,
+            boxes,
+            held,
+            self._proof,
+            None if self.gate is None else self.gate.clients.identify,
+        )
         if self.custody is not None:
             from cloverhinge.hls.custody import KeptPlays
 
@@ -184,8 +244,13 @@
         wired = front.factory(root, self.config.sockets // 4, self.deadlines)
         web = reactor.listenTCP(port, wired, backlog=BACKLOG, interface=host)
         self.web_ports.append(web)
-        self.log.info("{name}: HLS on {host}:{port}, {titles} titles", name=self.config.name, host=host,
-                      port=web.getHost().port, titles=len(site.titles))
+        self.log.info(
+            "{name}: HLS on {host}:{port}, {titles} titles",
+            name=self.config.name,
+            host=host,
+            port=web.getHost().port,
+            titles=len(site.titles),
+        )
         if acme is not None:
             self._start_acme(acme, wired)
 
@@ -195,14 +260,20 @@
         def ready() -> None:
             if self.stopping:
                 return
-            tls = reactor.listenSSL(site.listen[1], wired, self.keeper.live, backlog=BACKLOG,
-                                    interface=site.listen[0])
+            tls = reactor.listenSSL(
+                site.listen[1], wired, self.keeper.live, backlog=BACKLOG, interface=site.listen[0]
+            )
             self.web_ports.append(tls)
-            self.log.info("{name}: HLS over TLS on {host}:{port}", name=self.config.name,
-                          host=site.listen[0], port=tls.getHost().port)
-
-        self.keeper = Keeper(site, self.deadlines, reactor.callFromThread, ready,
-                             random.Random(self.config.seed))
+            self.log.info(
+                "{name}: HLS over TLS on {host}:{port}",
+                name=self.config.name,
+                host=site.listen[0],
+                port=tls.getHost().port,
+            )
+
+        self.keeper = Keeper(
+            site, self.deadlines, reactor.callFromThread, ready, random.Random(self.config.seed)
+        )
         self.keeper.start()
 
     def _proof(self, token: str) -> str | None:
@@ -211,13 +282,25 @@
     def status(self) -> dict[str, Any]:
         certificate = None
         if self.keeper is not None:
-            certificate = {"domains": list(self.keeper.site.domains), "expires_ms": self.keeper.expires_ms,
-                           "error": self.keeper.error}
-        return snapshot(self.config.name, self.router, self.media_servers, self.boxes, self.started_ms,
-                        certificate, len(self.plays.table) if self.plays is not None else 0,
-                        self.gate.status() if self.gate is not None else []
-                        ) | {part.key: part.status() for part in self.parts
-                             } | ({} if self.operation is None else {"operation": self.operation.status()})
+            certificate = {
+                "domains": list(self.keeper.site.domains),
+                "expires_ms": self.keeper.expires_ms,
+                "error": self.keeper.error,
+            }
+        return (
+            snapshot(
+                self.config.name,
+                self.router,
+                self.media_servers,
+                self.boxes,
+                self.started_ms,
+                certificate,
+                len(self.plays.table) if self.plays is not None else 0,
+                self.gate.status() if self.gate is not None else [],
+            )
+            | {part.key: part.status() for part in self.parts}
+            | ({} if self.operation is None else {"operation": self.operation.status()})
+        )
 
     def change(self, change: ListUpdate, kind: api.ListKind | None = None) -> None:
         """A list, or a change of one: the router first, as it says what may still be written to."""
@@ -234,18 +317,31 @@
                 self.boxes[box.number] = box
         self.router.fleet(kind, (listing for _, listing in change.rows))
         self.media_servers.follow(self.boxes)
-        self.log.info("list {seq}: {rows} boxes changed, {boxes} listed", seq=change.seq,
-                      rows=len(change.rows), boxes=len(self.boxes))
+        self.log.info(
+            "list {seq}: {rows} boxes changed, {boxes} listed",
+            seq=change.seq,
+            rows=len(change.rows),
+            boxes=len(self.boxes),
+        )
 
     def _all_draining(self, change: ListUpdate) -> ListUpdate:
         """Guards what plays against a whole list that is empty, which may be a fault of the log: nothing new
         is sent to any server until it is told again, and no session is ended."""
-        self.log.warn("list {seq} is empty: nothing new is sent to the {boxes} servers known", seq=change.seq,
-                      boxes=len(self.boxes))
+        self.log.warn(
+            "list {seq} is empty: nothing new is sent to the {boxes} servers known",
+            seq=change.seq,
+            boxes=len(self.boxes),
+        )
         listings = self.router.listings
-        return replace(change, full=False, rows=tuple(
-            (box, replace(listings[number], health=api.Health.DRAINING))
-            for number, box in self.boxes.items() if number in listings))
+        return replace(
+            change,
+            full=False,
+            rows=tuple(
+                (box, replace(listings[number], health=api.Health.DRAINING))
+                for number, box in self.boxes.items()
+                if number in listings
+            ),
+        )
 
     def reload(self) -> None:
         """SIGHUP: read the configuration anew.  One that is bad or half written leaves the old one in force.
@@ -256,13 +352,18 @@
         try:
             told = from_environment()
         except ConfigError as error:
-            self.log.error("{name}: keeps its configuration: {error}", name=self.config.name,
-                           error=str(error)[:500])
+            self.log.error(
+                "{name}: keeps its configuration: {error}", name=self.config.name, error=str(error)[:500]
+            )
             return
         self.media_servers.connect_ms, self.media_servers.idle_ms = told.connect_ms, told.idle_ms
         self.discovery.follow(told.changelog)
-        self.log.info("{name}: configuration read anew, change log at {host}:{port}", name=self.config.name,
-                      host=told.changelog[0], port=told.changelog[1])
+        self.log.info(
+            "{name}: configuration read anew, change log at {host}:{port}",
+            name=self.config.name,
+            host=told.changelog[0],
+            port=told.changelog[1],
+        )
 
     def terminate(self) -> None:
         """SIGTERM: go on taking what still comes, answer all of it, then end."""
--- a/cloverhinge/operation/desk.py
+++ b/cloverhinge/operation/desk.py
@@ -50,8 +50,9 @@
 class Desk(ServerFactory):
     noisy = False
 
-    def __init__(self, answer: Callable[[bytes], str], deadlines: Deadlines,
-                 most: int = CALLERS_MOST) -> None:
+    def __init__(
+        self, answer: Callable[[bytes], str], deadlines: Deadlines, most: int = CALLERS_MOST
+    ) -> None:
         self.answer, self.deadlines, self.most = answer, deadlines, most
         self.waiting: dict[Caller, None] = {}  # no whole call has come of them yet; the first to come first
 
--- a/cloverhinge/operation/part.py
+++ b/cloverhinge/operation/part.py
@@ -30,8 +30,16 @@
     log = Logger()
     key = "operation"
 
-    def __init__(self, reactor: Any, name: str, mgmt: tuple[str, int] | None, folder: Path | None,
-                 sockets: int, router: Router, deadlines: Deadlines) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        name: str,
+        mgmt: tuple[str, int] | None,
+        folder: Path | None,
+        sockets: int,
+        router: Router,
+        deadlines: Deadlines,
+    ) -> None:
         self.reactor, self.name, self.mgmt = reactor, name, mgmt
         self.router, self.deadlines = router, deadlines
         self.bans = Bans()
@@ -44,14 +52,21 @@
             self.shelf, self.beside = Shelf(folder / f"{stem}-bans.json"), Beside(folder, stem)
             self._merge()  # before anything is sent
         self.told = False  # of this process, to others
-        self.desk = Desk(lambda line: calls.answer(line, self), deadlines,
-                         max(1, min(CALLERS_MOST, int(sockets * CALLERS_SHARE))))
+        self.desk = Desk(
+            lambda line: calls.answer(line, self),
+            deadlines,
+            max(1, min(CALLERS_MOST, int(sockets * CALLERS_SHARE))),
+        )
 
     def start(self) -> None:
         if self.mgmt is not None:
             port = self.reactor.listenTCP(self.mgmt[1], self.desk, interface=self.mgmt[0])
-            self.log.info("{name}: operators at {host}:{port}", name=self.name, host=self.mgmt[0],
-                          port=port.getHost().port)
+            self.log.info(
+                "{name}: operators at {host}:{port}",
+                name=self.name,
+                host=self.mgmt[0],
+                port=port.getHost().port,
+            )
         if self.beside is not None:
             self.beside.start()
             self._look()
@@ -84,6 +99,7 @@
 
     def commands(self) -> dict[str, Callable[[str], dict[str, Any]]]:
         """The same calls for those who come to the admin socket."""
+
         def call(word: str) -> Callable[[str], dict[str, Any]]:
             return lambda about: {"answer": calls.answer(f"{word} {about}".encode(), self).strip()}
 
@@ -94,8 +110,12 @@
     def figures(self) -> Figures:
         router = self.router
         servers, now_us = router.controller.fleet.servers, to_us(router.clock.now())
-        avoided = sum(1 for number in router.listings if number in router.left_out or (
-            number in servers and servers[number].distrusted_until_us > now_us))
+        avoided = sum(
+            1
+            for number in router.listings
+            if number in router.left_out
+            or (number in servers and servers[number].distrusted_until_us > now_us)
+        )
         return Figures(router.counters.tallies, len(router.requests), len(router.listings), avoided)
 
     def known(self, name: str) -> bool:
@@ -145,8 +165,11 @@
             self.parts = shared
             share(router.controller, router.settings, shared)
             self.shared(shared)
-            self.log.info("{name}: {parts} in this router's place", name=self.name,
-                          parts="another process serves" if shared > 1 else "no other process serves")
+            self.log.info(
+                "{name}: {parts} in this router's place",
+                name=self.name,
+                parts="another process serves" if shared > 1 else "no other process serves",
+            )
 
     def _look(self) -> None:
         self._merge()
--- a/cloverhinge/shutdown.py
+++ b/cloverhinge/shutdown.py
@@ -67,8 +67,9 @@
 
     log = Logger()
 
-    def __init__(self, name: str, front: Front, router: Router, deadlines: Deadlines, longest_ms: float,
-                 hooks: Hooks) -> None:
+    def __init__(
+        self, name: str, front: Front, router: Router, deadlines: Deadlines, longest_ms: float, hooks: Hooks
+    ) -> None:
         """`longest_ms`: the longest that any client waits for an answer."""
         self.name, self.front, self.router, self.deadlines = name, front, router, deadlines
         self.longest_ms, self.hooks = longest_ms, hooks
@@ -114,8 +115,12 @@
         if (left or self.front.open_connections or self.router.open) and now < self.until_ms:
             self.deadlines.after(REST_PACE_MS, self._end_connections)
             return
-        self.log.info("{name}: ends, {left} connections and {open} requests left", name=self.name,
-                      left=self.front.open_connections, open=self.router.open)
+        self.log.info(
+            "{name}: ends, {left} connections and {open} requests left",
+            name=self.name,
+            left=self.front.open_connections,
+            open=self.router.open,
+        )
         self.phase = Phase.LEAVING
         self.hooks.ended()
         self._leave(now + TAKE_OVER_MS)
--- a/cloverhinge/site/__init__.py
+++ b/cloverhinge/site/__init__.py
@@ -19,8 +19,18 @@
     Title,
 )
 
-__all__ = ["AcmeSite", "ClientSite", "CustodySite", "DoorSite", "HlsSite", "MembersSite", "Site",
-           "StoreSite", "Title", "read"]
+__all__ = [
+    "AcmeSite",
+    "ClientSite",
+    "CustodySite",
+    "DoorSite",
+    "HlsSite",
+    "MembersSite",
+    "Site",
+    "StoreSite",
+    "Title",
+    "read",
+]
 
 
 def read(path: Path) -> Site:
--- a/cloverhinge/site/schema.py
+++ b/cloverhinge/site/schema.py
@@ -149,8 +149,9 @@
     if "store" in told and custody is None:
         raise ValueError("store: it keeps what custody keeps, which has no table here")
     store = StoreSite(Path(table(told["store"], StoreTable, "store").folder)) if "store" in told else None
-    return Site(hls, parse_acme(told["acme"]) if "acme" in told else None, admin, door, members, custody,
-                store)
+    return Site(
+        hls, parse_acme(told["acme"]) if "acme" in told else None, admin, door, members, custody, store
+    )
 
 
 def table(told: Any, kind: type[S], path: str) -> S:
@@ -198,13 +199,19 @@
         path = f"hls.titles.{name}"
         named(name, path, "title")
         title = table(one, TitleTable, path)
-        titles[name] = Title(title.home, title.copies, title.top, title.length_s * 1000.0,
-                             frozenset(title.classes))
+        titles[name] = Title(
+            title.home, title.copies, title.top, title.length_s * 1000.0, frozenset(title.classes)
+        )
     return HlsSite(
-        listen=where(own.listen, "hls.listen"), key=secret(own.key, "hls.key", KEY_SHORTEST),
-        idle_ms=own.idle_s * 1000.0, manifest_bytes=int(own.manifest_kb * 1024), box_port=own.box_port,
+        listen=where(own.listen, "hls.listen"),
+        key=secret(own.key, "hls.key", KEY_SHORTEST),
+        idle_ms=own.idle_s * 1000.0,
+        manifest_bytes=int(own.manifest_kb * 1024),
+        box_port=own.box_port,
         boxes={name: where(text, f"hls.boxes.{name}", 1) for name, text in own.boxes.items()},
-        titles=titles, allow_origin=own.allow_origin)
+        titles=titles,
+        allow_origin=own.allow_origin,
+    )
 
 
 def parse_acme(told: Any) -> AcmeSite:
@@ -212,9 +219,14 @@
     if not own.domains:
         raise ValueError("acme.domains names no domain")
     return AcmeSite(
-        directory=own.directory, domains=own.domains, contact=own.contact,
-        listen=where(own.listen, "acme.listen"), state=Path(own.state) if own.state else None,
-        ca_file=own.ca_file, renew_before_s=own.renew_before_days * 86400.0)
+        directory=own.directory,
+        domains=own.domains,
+        contact=own.contact,
+        listen=where(own.listen, "acme.listen"),
+        state=Path(own.state) if own.state else None,
+        ca_file=own.ca_file,
+        renew_before_s=own.renew_before_days * 86400.0,
+    )
 
 
 def parse_door(told: Any, clients: Any) -> DoorSite:
@@ -233,8 +245,13 @@
     others = parsed.pop(OTHERS, ClientSite(OTHERS))
     if others.networks or others.key:
         raise ValueError(f"clients.{OTHERS} are those whom nobody vouches for: it takes a weight alone")
-    return DoorSite(secret(own.key, "door.key", KEY_SHORTEST) if own.key else b"", own.waiting, own.promises,
-                    own.quote_most_s * 1000.0, (*parsed.values(), others))
+    return DoorSite(
+        secret(own.key, "door.key", KEY_SHORTEST) if own.key else b"",
+        own.waiting,
+        own.promises,
+        own.quote_most_s * 1000.0,
+        (*parsed.values(), others),
+    )
 
 
 def parse_client(name: str, told: Any) -> ClientSite:
@@ -265,8 +282,13 @@
         listen=where(own.listen, "members.listen"),
         advertise=where(own.advertise, "members.advertise") if own.advertise else None,
         join=tuple(where(text, f"members.join[{at}]", 1) for at, text in enumerate(own.join)),
-        site=own.site, keys=tuple(keys), probe_ms=own.probe_ms, quiet_ms=own.quiet_ms, out_ms=own.out_ms,
-        watch=own.watch)
+        site=own.site,
+        keys=tuple(keys),
+        probe_ms=own.probe_ms,
+        quiet_ms=own.quiet_ms,
+        out_ms=own.out_ms,
+        watch=own.watch,
+    )
 
 
 def parse_custody(told: Any) -> CustodySite:
--- a/cloverhinge/store/folder.py
+++ b/cloverhinge/store/folder.py
@@ -151,10 +151,13 @@
         if above >= head.mark:
             head = msgspec.structs.replace(head, generation=above.generation + 1)
         with base:
-            base.executemany("insert or replace into kept values (?, ?)",
-                             [(key, value) for key, value in rows.items() if value is not None])
-            base.executemany("delete from kept where key = ?",
-                             [(key,) for key, value in rows.items() if value is None])
+            base.executemany(
+                "insert or replace into kept values (?, ?)",
+                [(key, value) for key, value in rows.items() if value is not None],
+            )
+            base.executemany(
+                "delete from kept where key = ?", [(key,) for key, value in rows.items() if value is None]
+            )
             base.execute("insert or replace into head values (0, ?)", (form.encode(head),))
         self._head = head
         for key, one in checks.items():
--- a/cloverhinge/store/writer.py
+++ b/cloverhinge/store/writer.py
@@ -18,8 +18,13 @@
     """`call`: from the thread into the program's own; `done` is told of the last number that is safe, the
     mark and the ms that it took; `failed` once, and nothing after it."""
 
-    def __init__(self, folder: Folder, call: Callable[..., Any], done: Callable[[int, Mark, float], None],
-                 failed: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        folder: Folder,
+        call: Callable[..., Any],
+        done: Callable[[int, Mark, float], None],
+        failed: Callable[[str], None],
+    ) -> None:
         self.folder, self.call, self.done, self.failed = folder, call, done, failed
         self._more = threading.Condition()
         self._rows: dict[str, bytes | None] = {}
--- a/cloverhinge/wirehost.py
+++ b/cloverhinge/wirehost.py
@@ -17,14 +17,34 @@
 
 HEALTH = {0: api.Health.GONE, 1: api.Health.READY, 2: api.Health.DRAINING}
 LIST_KINDS = {0: api.ListKind.FULL, 1: api.ListKind.CACHED, 2: api.ListKind.DELTA, 4: api.ListKind.FAILED}
-OUTCOMES = {0: api.Outcome.ERROR, 1: api.Outcome.SERVED, 2: api.Outcome.FULL, 3: api.Outcome.TIMEOUT,
-            4: api.Outcome.CONNECT_FAILED, 5: api.Outcome.RESET, 6: api.Outcome.CANCELLED,
-            7: api.Outcome.MOOT}
+OUTCOMES = {
+    0: api.Outcome.ERROR,
+    1: api.Outcome.SERVED,
+    2: api.Outcome.FULL,
+    3: api.Outcome.TIMEOUT,
+    4: api.Outcome.CONNECT_FAILED,
+    5: api.Outcome.RESET,
+    6: api.Outcome.CANCELLED,
+    7: api.Outcome.MOOT,
+}
 MOVED_BIT, RETURN_BIT, HINT_BIT = 8, 16, 1
 
 # Every message name with the fewest values that it may carry.
-SHORTEST = {"born": 3, "down": 1, "roster": 2, "fleet": 3, "knock": 11, "carried": 12, "first": 3,
-            "settled": 5, "interim": 6, "gone": 2, "timer": 2, "pingResult": 3, "noteFrom": 2}
+SHORTEST = {
+    "born": 3,
+    "down": 1,
+    "roster": 2,
+    "fleet": 3,
+    "knock": 11,
+    "carried": 12,
+    "first": 3,
+    "settled": 5,
+    "interim": 6,
+    "gone": 2,
+    "timer": 2,
+    "pingResult": 3,
+    "noteFrom": 2,
+}
 
 
 class WireError(Exception):
@@ -33,9 +53,15 @@
 
 def parse_listing(row: list[Any]) -> api.ServerListing:
     server, zone, kind, cell, health, weight, started = (row + [None] * 7)[:7]
-    return api.ServerListing(server=server, cell=int(cell or 0), zone=str(zone or ""), kind=str(kind or ""),
-                             health=HEALTH.get(health, api.Health.READY),
-                             weight=1.0 if weight is None else float(weight), started_us=int(started or 0))
+    return api.ServerListing(
+        server=server,
+        cell=int(cell or 0),
+        zone=str(zone or ""),
+        kind=str(kind or ""),
+        health=HEALTH.get(health, api.Health.READY),
+        weight=1.0 if weight is None else float(weight),
+        started_us=int(started or 0),
+    )
 
 
 def parse_report(stats: dict[str, Any] | None) -> api.LoadReport | None:
@@ -45,29 +71,51 @@
 
 
 def parse_knock(v: list[Any]) -> api.SessionRequested:
-    (session, class_name, tenant, viewer, title, expires, length, first, copies, ceiling,
-     bits) = v[:11]
-    return requested(session, class_name, tenant, viewer, title, expires, length, first, copies, ceiling,
-                     bits)
+    (session, class_name, tenant, viewer, title, expires, length, first, copies, ceiling, bits) = v[:11]
+    return requested(
+        session, class_name, tenant, viewer, title, expires, length, first, copies, ceiling, bits
+    )
 
 
 def parse_carried(v: list[Any]) -> api.SessionRequested:
-    (session, bits, tenant, viewer, ceiling, class_name, server, length, first, copies, expires,
-     title) = v[:12]
-    return requested(session, class_name, tenant, viewer, title, expires, length, first, copies, ceiling,
-                     bits, server)
-
-
-def requested(session: int, class_name: str, tenant: Any, viewer: Any, title: str, expires: Any, length: Any,
-              first: Any, copies: Any, ceiling: Any, bits: Any, server: int | None = None,
-              ) -> api.SessionRequested:
+    (session, bits, tenant, viewer, ceiling, class_name, server, length, first, copies, expires, title) = v[
+        :12
+    ]
+    return requested(
+        session, class_name, tenant, viewer, title, expires, length, first, copies, ceiling, bits, server
+    )
+
+
+def requested(
+    session: int,
+    class_name: str,
+    tenant: Any,
+    viewer: Any,
+    title: str,
+    expires: Any,
+    length: Any,
+    first: Any,
+    copies: Any,
+    ceiling: Any,
+    bits: Any,
+    server: int | None = None,
+) -> api.SessionRequested:
     bits = int(bits or 0)
     return api.SessionRequested(
-        session=session, class_name=class_name, title=title, first_cell=int(first or 0),
-        copies=int(copies or 0), ceiling=255 if ceiling is None else int(ceiling),
-        expires_us=int(expires or 0), tenant=str(tenant or ""), viewer=str(viewer or ""),
-        length_us=int(length or 0) if bits & HINT_BIT else 0, returning=bool(bits & RETURN_BIT),
-        moved=bool(bits & MOVED_BIT), server=server)
+        session=session,
+        class_name=class_name,
+        title=title,
+        first_cell=int(first or 0),
+        copies=int(copies or 0),
+        ceiling=255 if ceiling is None else int(ceiling),
+        expires_us=int(expires or 0),
+        tenant=str(tenant or ""),
+        viewer=str(viewer or ""),
+        length_us=int(length or 0) if bits & HINT_BIT else 0,
+        returning=bool(bits & RETURN_BIT),
+        moved=bool(bits & MOVED_BIT),
+        server=server,
+    )
 
 
 def parse_note(v: list[Any]) -> api.Event | None:
@@ -85,8 +133,9 @@
 
 def parse_settled(v: list[Any]) -> api.AttemptEnded:
     session, attempt, server, disposition, took, over, stats = (v + [None] * 3)[:7]
-    return api.AttemptEnded(session, attempt, server, OUTCOMES[disposition], bool(over), int(took or 0),
-                            parse_report(stats))
+    return api.AttemptEnded(
+        session, attempt, server, OUTCOMES[disposition], bool(over), int(took or 0), parse_report(stats)
+    )
 
 
 def parse_probe(v: list[Any]) -> api.ProbeEnded:
@@ -95,10 +144,16 @@
 
 
 PARSERS: dict[str, Callable[[list[Any]], api.Event | None]] = {
-    "knock": parse_knock, "carried": parse_carried, "interim": parse_note, "settled": parse_settled,
-    "pingResult": parse_probe, "noteFrom": lambda v: None,
+    "knock": parse_knock,
+    "carried": parse_carried,
+    "interim": parse_note,
+    "settled": parse_settled,
+    "pingResult": parse_probe,
+    "noteFrom": lambda v: None,
     "first": lambda v: api.SessionStarted(v[0], v[1], int(v[3]) if len(v) > 3 and v[3] is not None else 0),
-    "gone": lambda v: api.ViewerLeft(v[0]), "timer": lambda v: api.TimerFired(v[0])}
+    "gone": lambda v: api.ViewerLeft(v[0]),
+    "timer": lambda v: api.TimerFired(v[0]),
+}
 
 
 def encode(name: str, action: api.Action) -> list[Any]:
@@ -136,8 +191,11 @@
             data = json.loads(line)
         except ValueError as error:
             raise WireError(f"not JSON: {error}") from None
-        if not isinstance(data, dict) or not isinstance(data.get("tsUs"), int) \
-                or not isinstance(data.get("msgs"), list):
+        if (
+            not isinstance(data, dict)
+            or not isinstance(data.get("tsUs"), int)
+            or not isinstance(data.get("msgs"), list)
+        ):
             raise WireError("a batch holds tsUs and msgs")
         decisions: list[list[Any]] = []
         for message in data["msgs"]:
--- a/example/demo.py
+++ b/example/demo.py
@@ -27,7 +27,8 @@
 def started(*words: str, **more: object) -> Iterator[subprocess.Popen[str]]:
     """A process that is told to end, and waited for, whatever happens."""
     process: subprocess.Popen[str] = subprocess.Popen(  # type: ignore[call-overload]
-        [sys.executable, *words], cwd=ROOT, text=True, **more)
+        [sys.executable, *words], cwd=ROOT, text=True, **more
+    )
     try:
         yield process
     finally:
@@ -54,8 +55,10 @@
 
 
 def main() -> None:
-    with tempfile.TemporaryDirectory() as name, started(
-            str(ROOT / "example/toy.py"), "0", stdout=subprocess.PIPE) as toy:
+    with (
+        tempfile.TemporaryDirectory() as name,
+        started(str(ROOT / "example/toy.py"), "0", stdout=subprocess.PIPE) as toy,
+    ):
         folder = Path(name)
         assert toy.stdout is not None
         places = json.loads(toy.stdout.readline())
@@ -68,21 +71,36 @@
         text = re.sub(r'^listen = "127\.0\.0\.1:\d+"', 'listen = "127.0.0.1:0"', text, flags=re.M)
         site = folder / "site.toml"
         site.write_text(text)
-        with started("-m", "cloverhinge", "serve", "--site", str(site), stderr=subprocess.PIPE,
-                     env={**os.environ, "LB_CONFIG": str(folder / "config.json")}) as router:
-            hls, admin, _ = until(router.stderr, r"HLS on 127\.0\.0\.1:(\d+)", r"admin on 127\.0\.0\.1:(\d+)",
-                                  r"(2) listed")
+        with started(
+            "-m",
+            "cloverhinge",
+            "serve",
+            "--site",
+            str(site),
+            stderr=subprocess.PIPE,
+            env={**os.environ, "LB_CONFIG": str(folder / "config.json")},
+        ) as router:
+            hls, admin, _ = until(
+                router.stderr, r"HLS on 127\.0\.0\.1:(\d+)", r"admin on 127\.0\.0\.1:(\d+)", r"(2) listed"
+            )
             print("A player asks for coaching/intro over HLS and gets a manifest of its own:\n")
             master = fetch(f"http://127.0.0.1:{hls}/play/coaching/intro")
             print(master)
             playlist = re.findall(r"^/session/\S+", master, re.M)[-1]
             segments = re.findall(r"^http://\S+\.ts$", fetch(f"http://127.0.0.1:{hls}{playlist}"), re.M)
-            print(f"Its playlist names {len(segments)} segments at a box; the first has "
-                  f"{len(fetch(segments[0]))} bytes.  The console shows:\n")
-            site.write_text(text.replace("[admin]\nlisten = \"127.0.0.1:0\"",
-                                         f"[admin]\nlisten = \"127.0.0.1:{admin}\""))
-            subprocess.run([sys.executable, "-m", "cloverhinge", "console", "--once", "--site", str(site)],
-                           cwd=ROOT, check=True, timeout=WAIT_S)
+            print(
+                f"Its playlist names {len(segments)} segments at a box; the first has "
+                f"{len(fetch(segments[0]))} bytes.  The console shows:\n"
+            )
+            site.write_text(
+                text.replace('[admin]\nlisten = "127.0.0.1:0"', f'[admin]\nlisten = "127.0.0.1:{admin}"')
+            )
+            subprocess.run(
+                [sys.executable, "-m", "cloverhinge", "console", "--once", "--site", str(site)],
+                cwd=ROOT,
+                check=True,
+                timeout=WAIT_S,
+            )
     if router.returncode != 0:
         raise SystemExit(f"demo: the router ended with {router.returncode}")
     print("\nThe router was told to end, and ended with 0.")
--- a/example/toy.py
+++ b/example/toy.py
@@ -14,10 +14,15 @@
 from contextlib import suppress
 
 Headers = dict[str, str]
-MASTER = ("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=800000\nlow.m3u8\n"
-          "#EXT-X-STREAM-INF:BANDWIDTH=1600000\nhigh.m3u8\n")
-MEDIA = ("#EXTM3U\n#EXT-X-VERSION:3\n#EXT-X-TARGETDURATION:4\n#EXT-X-PLAYLIST-TYPE:VOD\n"
-         + "".join(f"#EXTINF:4.0,\nsegment{n}.ts\n" for n in range(5)) + "#EXT-X-ENDLIST\n")
+MASTER = (
+    "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=800000\nlow.m3u8\n"
+    "#EXT-X-STREAM-INF:BANDWIDTH=1600000\nhigh.m3u8\n"
+)
+MEDIA = (
+    "#EXTM3U\n#EXT-X-VERSION:3\n#EXT-X-TARGETDURATION:4\n#EXT-X-PLAYLIST-TYPE:VOD\n"
+    + "".join(f"#EXTINF:4.0,\nsegment{n}.ts\n" for n in range(5))
+    + "#EXT-X-ENDLIST\n"
+)
 
 
 async def read(reader: asyncio.StreamReader) -> tuple[list[str], Headers, bytes]:
@@ -60,8 +65,11 @@
                     fields = f"X-Circuits: x0:{load:.3f};x1:{load / 2:.3f}\r\n"
                 else:
                     continue  # a new rung wants no answer
-                writer.write(f"RTSP/1.0 200 OK\r\nCSeq: {headers.get('cseq', '0')}\r\nSession: {session}\r\n"
-                             f"{fields}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+                writer.write(
+                    f"RTSP/1.0 200 OK\r\nCSeq: {headers.get('cseq', '0')}\r\nSession: {session}\r\n"
+                    f"{fields}Content-Length: {len(body)}\r\n\r\n".encode()
+                    + body
+                )
         writer.close()
 
     async def http(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -112,8 +120,18 @@
         box = Box(f"toy-{number + 1}")
         where = await listen(box.rtsp, 1 + 2 * number)
         places[box.name] = {"rtsp": where, "http": await listen(box.http, 2 + 2 * number)}
-        rows.append({"instanceId": box.name, "hostPort": where, "zone": "room", "machineType": "toy",
-                     "cell": number, "lifecycle": "active", "weight": 1, "startedAtMs": 0})
+        rows.append(
+            {
+                "instanceId": box.name,
+                "hostPort": where,
+                "zone": "room",
+                "machineType": "toy",
+                "cell": number,
+                "lifecycle": "active",
+                "weight": 1,
+                "startedAtMs": 0,
+            }
+        )
     event = {"seq": 1, "fleet": {"generation": 1, "reset": True, "instances": rows}}
     line = json.dumps(event).encode()
     log = await listen(lambda r, w: changelog(r, w, line), 0)
--- a/tests/authority.py
+++ b/tests/authority.py
@@ -45,8 +45,12 @@
                 authority.nonces.add(nonce)
                 data = told if isinstance(told, bytes) else json.dumps(told).encode()
                 self.send_response(status)
-                for name, value in {"Replay-Nonce": nonce, "Content-Length": str(len(data)),
-                                    "Content-Type": "application/json", **fields}.items():
+                for name, value in {
+                    "Replay-Nonce": nonce,
+                    "Content-Length": str(len(data)),
+                    "Content-Type": "application/json",
+                    **fields,
+                }.items():
                     self.send_header(name.replace("_", "-"), value)
                 self.end_headers()
                 if self.command != "HEAD":
@@ -57,8 +61,10 @@
 
             def do_GET(self) -> None:
                 url = authority.url
-                self.reply(200, {"newNonce": f"{url}/nonce", "newAccount": f"{url}/account",
-                                 "newOrder": f"{url}/order"})
+                self.reply(
+                    200,
+                    {"newNonce": f"{url}/nonce", "newAccount": f"{url}/account", "newOrder": f"{url}/order"},
+                )
 
             def do_POST(self) -> None:
                 data = self.rfile.read(int(self.headers["Content-Length"]))
@@ -66,8 +72,11 @@
                     status, told, fields = authority.post(self.path, data)
                     self.reply(status, told, **fields)
                 except Refused as error:
-                    self.reply(403, {"type": f"urn:ietf:params:acme:error:{error}", "detail": str(error)},
-                               Content_Type="application/problem+json")
+                    self.reply(
+                        403,
+                        {"type": f"urn:ietf:params:acme:error:{error}", "detail": str(error)},
+                        Content_Type="application/problem+json",
+                    )
 
             def log_message(self, *_: Any) -> None:
                 pass
@@ -90,8 +99,14 @@
         self.nonces.discard(protected["nonce"])
         kid = protected.get("kid", "")
         key = JWK.from_json(protected["jwk"]) if "jwk" in protected else self.accounts[kid]
-        if not JWS.from_json({"payload": told["payload"], "signatures": [
-                {"protected": told["protected"], "signature": told["signature"], "header": {}}]}).verify(key):
+        if not JWS.from_json(
+            {
+                "payload": told["payload"],
+                "signatures": [
+                    {"protected": told["protected"], "signature": told["signature"], "header": {}}
+                ],
+            }
+        ).verify(key):
             raise Refused("unauthorized")
         payload = b64decode(told["payload"])
         return kid, key, json.loads(payload) if payload else None
@@ -109,8 +124,11 @@
             if self.refusing:
                 raise Refused("rateLimited")
             name = secrets.token_hex(4)
-            self.orders[name] = {"names": [x["value"] for x in told["identifiers"]], "valid": False,
-                                 "token": b64encode(secrets.token_bytes(32)).decode()}
+            self.orders[name] = {
+                "names": [x["value"] for x in told["identifiers"]],
+                "valid": False,
+                "token": b64encode(secrets.token_bytes(32)).decode(),
+            }
             return 201, self.order(name), {"Location": f"{self.url}/order/{name}"}
         order = self.orders[name]
         if word == "order":
@@ -135,25 +153,45 @@
     def order(self, name: str) -> dict[str, Any]:
         order = self.orders[name]
         status = "valid" if "chain" in order else "ready" if order["valid"] else "pending"
-        return {"status": status, "identifiers": [{"type": "dns", "value": x} for x in order["names"]],
-                "authorizations": [f"{self.url}/authz/{name}"], "finalize": f"{self.url}/finalize/{name}",
-                **({"certificate": f"{self.url}/chain/{name}"} if "chain" in order else {})}
+        return {
+            "status": status,
+            "identifiers": [{"type": "dns", "value": x} for x in order["names"]],
+            "authorizations": [f"{self.url}/authz/{name}"],
+            "finalize": f"{self.url}/finalize/{name}",
+            **({"certificate": f"{self.url}/chain/{name}"} if "chain" in order else {}),
+        }
 
     def authorization(self, name: str) -> dict[str, Any]:
         order = self.orders[name]
         status = "valid" if order["valid"] else "pending"
-        return {"status": status, "identifier": {"type": "dns", "value": order["names"][0]}, "challenges": [
-            {"type": "http-01", "status": status, "url": f"{self.url}/challenge/{name}",
-             "token": order["token"]}]}
+        return {
+            "status": status,
+            "identifier": {"type": "dns", "value": order["names"][0]},
+            "challenges": [
+                {
+                    "type": "http-01",
+                    "status": status,
+                    "url": f"{self.url}/challenge/{name}",
+                    "token": order["token"],
+                }
+            ],
+        }
 
     def sign(self, csr: x509.CertificateSigningRequest) -> bytes:
         now = datetime.datetime.now(datetime.UTC)
         names = csr.extensions.get_extension_for_class(x509.SubjectAlternativeName)
         self.issued += 1
-        made = (x509.CertificateBuilder().subject_name(x509.Name([])).issuer_name(self.name)
-                .public_key(csr.public_key()).serial_number(1000 + self.issued)
-                .not_valid_before(now - datetime.timedelta(seconds=5)).not_valid_after(now + self.life)
-                .add_extension(names.value, critical=True).sign(self.key, hashes.SHA256()))
+        made = (
+            x509.CertificateBuilder()
+            .subject_name(x509.Name([]))
+            .issuer_name(self.name)
+            .public_key(csr.public_key())
+            .serial_number(1000 + self.issued)
+            .not_valid_before(now - datetime.timedelta(seconds=5))
+            .not_valid_after(now + self.life)
+            .add_extension(names.value, critical=True)
+            .sign(self.key, hashes.SHA256())
+        )
         return made.public_bytes(Encoding.PEM)
 
 
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -51,12 +51,13 @@
 
 
 def any_key() -> None:
-    wire.Seal.open = lambda self, sealed: sealed[wire.HEAD:]  # type: ignore[method-assign]
+    wire.Seal.open = lambda self, sealed: sealed[wire.HEAD :]  # type: ignore[method-assign]
 
 
 def any_word() -> None:
     core.Members._merge = (  # type: ignore[method-assign]
-        lambda self, now, message: self._take_all(now, message.news))
+        lambda self, now, message: self._take_all(now, message.news)
+    )
 
 
 def no_farewell() -> None:
@@ -131,7 +132,8 @@
 
 def releases_at_once() -> None:
     part.Part.release = (  # type: ignore[method-assign]
-        lambda self, request, cause: request.boxes.release(request, cause))
+        lambda self, request, cause: request.boxes.release(request, cause)
+    )
 
 
 def names_for_runs() -> None:
@@ -148,63 +150,112 @@
 def claims_of_most() -> None:
     """A claim counts once most keepers have taken it, as a write after a question does."""
     custody.Custody._wins = (  # type: ignore[method-assign]
-        lambda self, now, attempt: len(attempt.written) >= register.majority(len(attempt.keepers)))
+        lambda self, now, attempt: len(attempt.written) >= register.majority(len(attempt.keepers))
+    )
 
 
 REAL, VIRTUAL = "tests/test_lab_members.py", "tests/test_members.py"
 KEPT, MODELLED = "tests/test_lab_custody.py", "tests/test_custody.py"
 GUARDS: dict[str, tuple[Callable[[], None], list[str]]] = {
-    "a process that slept credits the others with that time": (no_pauses, [
-        f"{REAL}::test_all_paused_at_once", f"{VIRTUAL}::test_all_paused_at_once_accuse_nobody"]),
-    "who is reached over others is in": (no_way_round, [
-        f"{REAL}::test_two_are_cut_while_both_reach_a_third", f"{REAL}::test_a_hears_b_but_b_not_a",
-        f"{REAL}::test_one_site_reaches_half_of_another"]),
-    "a member is out by its observers' word, not by one's": (one_observer, [
-        f"{REAL}::test_a_third_lost_doubled_and_out_of_order", f"{REAL}::test_a_hears_b_but_b_not_a"]),
-    "who is held for dead and is not comes back by a new incarnation": (no_objection, [
-        f"{REAL}::test_a_pause_under_the_bound_and_one_over_it",
-        f"{REAL}::test_a_split_settles_on_both_sides_and_heals",
-        f"{REAL}::test_a_router_that_nobody_hears_is_out_learns_it_and_returns_once"]),
-    "a starter asks which incarnations of its name were there": (forgets_own_name, [
-        f"{REAL}::test_restarted_at_once_under_the_same_name",
-        f"{REAL}::test_a_killed_router_is_out_and_comes_back_as_a_higher_incarnation"]),
+    "a process that slept credits the others with that time": (
+        no_pauses,
+        [f"{REAL}::test_all_paused_at_once", f"{VIRTUAL}::test_all_paused_at_once_accuse_nobody"],
+    ),
+    "who is reached over others is in": (
+        no_way_round,
+        [
+            f"{REAL}::test_two_are_cut_while_both_reach_a_third",
+            f"{REAL}::test_a_hears_b_but_b_not_a",
+            f"{REAL}::test_one_site_reaches_half_of_another",
+        ],
+    ),
+    "a member is out by its observers' word, not by one's": (
+        one_observer,
+        [f"{REAL}::test_a_third_lost_doubled_and_out_of_order", f"{REAL}::test_a_hears_b_but_b_not_a"],
+    ),
+    "who is held for dead and is not comes back by a new incarnation": (
+        no_objection,
+        [
+            f"{REAL}::test_a_pause_under_the_bound_and_one_over_it",
+            f"{REAL}::test_a_split_settles_on_both_sides_and_heals",
+            f"{REAL}::test_a_router_that_nobody_hears_is_out_learns_it_and_returns_once",
+        ],
+    ),
+    "a starter asks which incarnations of its name were there": (
+        forgets_own_name,
+        [
+            f"{REAL}::test_restarted_at_once_under_the_same_name",
+            f"{REAL}::test_a_killed_router_is_out_and_comes_back_as_a_higher_incarnation",
+        ],
+    ),
     "no number of a run counts twice": (no_window, [f"{REAL}::test_forged_and_replayed_datagrams"]),
     "what is not signed with the key is refused": (any_key, [f"{REAL}::test_forged_and_replayed_datagrams"]),
-    "the word of one that hears nobody is not taken": (any_word, [
-        f"{VIRTUAL}::test_a_member_that_hears_nobody_or_that_nobody_hears_is_out_once_and_learns_it"]),
+    "the word of one that hears nobody is not taken": (
+        any_word,
+        [f"{VIRTUAL}::test_a_member_that_hears_nobody_or_that_nobody_hears_is_out_once_and_learns_it"],
+    ),
     "a planned end is told": (no_farewell, [f"{REAL}::test_a_rolling_end_of_all_accuses_nobody"]),
-    "those who are out, and the seeds, are asked again and again": (no_hello, [
-        f"{REAL}::test_a_split_settles_on_both_sides_and_heals",
-        f"{REAL}::test_a_joiner_whose_seeds_are_all_down"]),
-    "two routers of one name tell each other apart": (no_twins, [
-        f"{REAL}::test_two_routers_of_one_name"]),
-    "the word of one that is not reached counts for nothing": (last_words, [
-        f"{REAL}::test_half_of_the_members_killed_within_100_ms"]),
-    "an address that refuses is evidence": (no_refusals, [
-        f"{REAL}::test_half_of_the_members_killed_within_100_ms",
-        f"{VIRTUAL}::test_half_of_the_members_killed_at_once",
-        f"{VIRTUAL}::test_a_killed_member_is_out_everywhere_within_two_seconds"]),
+    "those who are out, and the seeds, are asked again and again": (
+        no_hello,
+        [
+            f"{REAL}::test_a_split_settles_on_both_sides_and_heals",
+            f"{REAL}::test_a_joiner_whose_seeds_are_all_down",
+        ],
+    ),
+    "two routers of one name tell each other apart": (no_twins, [f"{REAL}::test_two_routers_of_one_name"]),
+    "the word of one that is not reached counts for nothing": (
+        last_words,
+        [f"{REAL}::test_half_of_the_members_killed_within_100_ms"],
+    ),
+    "an address that refuses is evidence": (
+        no_refusals,
+        [
+            f"{REAL}::test_half_of_the_members_killed_within_100_ms",
+            f"{VIRTUAL}::test_half_of_the_members_killed_at_once",
+            f"{VIRTUAL}::test_a_killed_member_is_out_everywhere_within_two_seconds",
+        ],
+    ),
 }
 CUSTODY: dict[str, tuple[Callable[[], None], list[str]]] = {
-    "a paid intent is never sent by a successor": (resends, [
-        f"{KEPT}::test_killed_between_the_send_and_the_answer_a_paid_play_has_failed_for_good"]),
-    "a keeper denies others while the owner's lease runs": (no_leases, [
-        f"{KEPT}::test_two_fetches_at_two_routers_at_once_are_one_set_up"]),
-    "an owner without a lease sends nothing": (sends_unleased, [
-        f"{MODELLED}::test_a_set_up_about_to_leave_stays_after_a_pause_and_is_known_to_be_lost"]),
-    "a keeper tells an owner that another has come": (no_generations, [
-        f"{MODELLED}::test_an_owner_that_slept_knows_what_was_taken_from_it"]),
-    "no release before it is certain": (releases_at_once, [
-        f"{KEPT}::test_a_viewer_s_end_that_waited_in_a_paused_router_ends_no_successor_s_session"]),
-    "a restarted router is another run": (names_for_runs, [
-        f"{MODELLED}::test_all_but_one_restart_and_what_they_kept_is_unknown"]),
-    "what most keepers of a record took with them is unknown": (no_holes, [
-        f"{MODELLED}::test_all_but_one_restart_and_what_they_kept_is_unknown"]),
-    "a claim counts once all keepers have taken it": (claims_of_most, [
-        f"{MODELLED}::test_a_claim_that_one_keeper_took_hides_nothing_that_most_hold"]),
+    "a paid intent is never sent by a successor": (
+        resends,
+        [f"{KEPT}::test_killed_between_the_send_and_the_answer_a_paid_play_has_failed_for_good"],
+    ),
+    "a keeper denies others while the owner's lease runs": (
+        no_leases,
+        [f"{KEPT}::test_two_fetches_at_two_routers_at_once_are_one_set_up"],
+    ),
+    "an owner without a lease sends nothing": (
+        sends_unleased,
+        [f"{MODELLED}::test_a_set_up_about_to_leave_stays_after_a_pause_and_is_known_to_be_lost"],
+    ),
+    "a keeper tells an owner that another has come": (
+        no_generations,
+        [f"{MODELLED}::test_an_owner_that_slept_knows_what_was_taken_from_it"],
+    ),
+    "no release before it is certain": (
+        releases_at_once,
+        [f"{KEPT}::test_a_viewer_s_end_that_waited_in_a_paused_router_ends_no_successor_s_session"],
+    ),
+    "a restarted router is another run": (
+        names_for_runs,
+        [f"{MODELLED}::test_all_but_one_restart_and_what_they_kept_is_unknown"],
+    ),
+    "what most keepers of a record took with them is unknown": (
+        no_holes,
+        [f"{MODELLED}::test_all_but_one_restart_and_what_they_kept_is_unknown"],
+    ),
+    "a claim counts once all keepers have taken it": (
+        claims_of_most,
+        [f"{MODELLED}::test_a_claim_that_one_keeper_took_hides_nothing_that_most_hold"],
+    ),
+}
+GROUPS = {
+    "members": dict(GUARDS),
+    "custody": CUSTODY,
+    "operation": operation_guards.GUARDS,
+    "store": store_guards.GUARDS,
 }
-GROUPS = {"members": dict(GUARDS), "custody": CUSTODY, "operation": operation_guards.GUARDS,
-          "store": store_guards.GUARDS}
 GUARDS |= CUSTODY | operation_guards.GUARDS | store_guards.GUARDS
 
 
@@ -218,8 +269,11 @@
     """What Python is started with: the program, or the program without that guard."""
     if VARIABLE not in os.environ:
         return ["-m", "cloverhinge"]
-    return ["-c", "import sys; from tests.guards import out; out(); from cloverhinge.cli import main; "
-            "sys.exit(main(sys.argv[1:]))"]
+    return [
+        "-c",
+        "import sys; from tests.guards import out; out(); from cloverhinge.cli import main; "
+        "sys.exit(main(sys.argv[1:]))",
+    ]
 
 
 LIMIT_S = 120.0  # for one test without its guard; each has limits of its own, 20 s mostly
@@ -232,15 +286,22 @@
     group = next((x for x in sys.argv[1:] if x in GROUPS), "members")
     for name, (_, tests) in GROUPS[group].items():
         for test in tests:
-            done = subprocess.run([sys.executable, "-m", "pytest", "-n", "0", test], capture_output=True,
-                                  text=True, env={**os.environ, VARIABLE: name}, timeout=LIMIT_S)
+            done = subprocess.run(
+                [sys.executable, "-m", "pytest", "-n", "0", test],
+                capture_output=True,
+                text=True,
+                env={**os.environ, VARIABLE: name},
+                timeout=LIMIT_S,
+            )
             seen = "fails" if done.returncode == 1 else f"PASSES ({done.returncode})"
             rows.append({"taken out": name, "test": test.partition("::")[2], "without it": seen})
             print(rows[-1], flush=True)
-    keep(f"{group}_guards", f"{'Membership' if group == 'members' else group.capitalize()}: "
-         "each test without its guard", [
-        ("`fails` is what is wanted: the same test passes with the guard in.", rows)],
-        "python -m tests.guards" + ("" if group == "members" else f" {group}"))
+    keep(
+        f"{group}_guards",
+        f"{'Membership' if group == 'members' else group.capitalize()}: " "each test without its guard",
+        [("`fails` is what is wanted: the same test passes with the guard in.", rows)],
+        "python -m tests.guards" + ("" if group == "members" else f" {group}"),
+    )
     return int(any(row["without it"] != "fails" for row in rows))
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,17 +9,32 @@
 from cloverhinge.decision.logic import Controller
 
 FILM = api.ServiceClass("film", aim_us=1_000_000, deadline_us=4_000_000)
-PAID = api.ServiceClass("paid", effect=api.Effect.ONCE, aim_us=1_000_000, deadline_us=4_000_000, floor=1,
-                        key_ttl_us=9_000_000)
+PAID = api.ServiceClass(
+    "paid", effect=api.Effect.ONCE, aim_us=1_000_000, deadline_us=4_000_000, floor=1, key_ttl_us=9_000_000
+)
 SEATED = api.ServiceClass("seated", seats=2)
 GOLD = api.ServiceClass("gold", worth=5.0)
 KEYED = api.ServiceClass("keyed", effect=api.Effect.BY_KEY, group=api.Group.ZONE, key_ttl_us=2_000_000)
 
 BASE = api.Settings(
-    classes=(FILM, PAID, SEATED, GOLD, KEYED), ladder_kb=(100.0, 200.0, 400.0), rung_worth=(0.3, 0.6, 1.0),
-    places_by_kind={"box": 20}, weight_kb=1000.0, uplink_kb=4000.0, cells=6, racks=2, fleet_size=1,
-    notes_late_us=1_000_000, told_every_us=3_000_000, max_attempts=3, max_retry_after_us=800_000,
-    cold_us=10_000_000, cold_from=0.4, fall_multiple=2.5, drain_grace_us=1_000_000)
+    classes=(FILM, PAID, SEATED, GOLD, KEYED),
+    ladder_kb=(100.0, 200.0, 400.0),
+    rung_worth=(0.3, 0.6, 1.0),
+    places_by_kind={"box": 20},
+    weight_kb=1000.0,
+    uplink_kb=4000.0,
+    cells=6,
+    racks=2,
+    fleet_size=1,
+    notes_late_us=1_000_000,
+    told_every_us=3_000_000,
+    max_attempts=3,
+    max_retry_after_us=800_000,
+    cold_us=10_000_000,
+    cold_from=0.4,
+    fall_multiple=2.5,
+    drain_grace_us=1_000_000,
+)
 
 
 def settings(**changes: Any) -> api.Settings:
@@ -43,11 +58,13 @@
         self.log.extend(actions)
         return actions
 
-    def ask(self, title: str = "t", class_name: str = "film", ceiling: int = 2, copies: int = 6,
-            **more: Any) -> tuple[int, list[api.Action]]:
+    def ask(
+        self, title: str = "t", class_name: str = "film", ceiling: int = 2, copies: int = 6, **more: Any
+    ) -> tuple[int, list[api.Action]]:
         self.next += 1
-        event = api.SessionRequested(self.next, class_name, title, 0, copies, ceiling,
-                                     self.now + 4_000_000, **more)
+        event = api.SessionRequested(
+            self.next, class_name, title, 0, copies, ceiling, self.now + 4_000_000, **more
+        )
         return self.next, self.tell(event)
 
     def play(self, title: str = "t", **more: Any) -> int:
@@ -57,12 +74,24 @@
         self.tell(api.SessionStarted(session, server, 0), 50_000)
         return server
 
-    def end(self, session: int, server: int, outcome: api.Outcome, attempt: int = 0,
-            concluded: bool = False, report: api.LoadReport | None = None) -> list[api.Action]:
+    def end(
+        self,
+        session: int,
+        server: int,
+        outcome: api.Outcome,
+        attempt: int = 0,
+        concluded: bool = False,
+        report: api.LoadReport | None = None,
+    ) -> list[api.Action]:
         return self.tell(api.AttemptEnded(session, attempt, server, outcome, concluded, 1000, report), 10_000)
 
-    def note(self, server: int, link: float | None = None, uplink: float | None = None,
-             streams: float | None = None) -> list[api.Action]:
+    def note(
+        self,
+        server: int,
+        link: float | None = None,
+        uplink: float | None = None,
+        streams: float | None = None,
+    ) -> list[api.Action]:
         """A load report that describes this moment, as a probe brings it."""
         return self.tell(api.ProbeEnded(server, api.Outcome.SERVED, 0, api.LoadReport(streams, link, uplink)))
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -73,8 +73,13 @@
 
 def collect() -> list[str]:
     """The ids of all tests that exist."""
-    done = subprocess.run([sys.executable, "-m", "pytest", "--collect-only", "-q", "-n", "0"], cwd=ROOT,
-                          capture_output=True, text=True, check=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "--collect-only", "-q", "-n", "0"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     return [line for line in done.stdout.splitlines() if "::" in line]
 
 
--- a/tests/operation_guards.py
+++ b/tests/operation_guards.py
@@ -87,27 +87,49 @@
 PURE, REAL = "tests/test_operation.py", "tests/test_operation_network.py"
 UPGRADE = f"{REAL}::test_a_new_version_takes_over_and_no_request_is_lost_twice_and_back"
 GUARDS: dict[str, tuple[Callable[[], None], list[str]]] = {
-    "a ban lies over whatever the list says": (lists_decide, [
-        f"{REAL}::test_a_box_left_out_gets_nothing_new_over_lists_and_sighup_until_it_is_put_back",
-        f"{PURE}::test_a_box_left_out_by_hand_drains_whatever_the_list_says_and_comes_back_cold"]),
-    "a box put back begins anew": (remembers, [
-        f"{PURE}::test_a_box_left_out_by_hand_drains_whatever_the_list_says_and_comes_back_cold"]),
+    "a ban lies over whatever the list says": (
+        lists_decide,
+        [
+            f"{REAL}::test_a_box_left_out_gets_nothing_new_over_lists_and_sighup_until_it_is_put_back",
+            f"{PURE}::test_a_box_left_out_by_hand_drains_whatever_the_list_says_and_comes_back_cold",
+        ],
+    ),
+    "a box put back begins anew": (
+        remembers,
+        [f"{PURE}::test_a_box_left_out_by_hand_drains_whatever_the_list_says_and_comes_back_cold"],
+    ),
     "the inherited socket never blocks": (blocks, [UPGRADE]),
     "a connection ends at a moment of rest": (cuts_off, [UPGRADE]),
-    "who says nothing makes room": (first_come, [
-        f"{REAL}::test_callers_are_answered_beside_those_who_say_nothing"]),
-    "bans are read before anything is sent": (no_file, [
-        f"{REAL}::test_bans_outlive_a_crash_and_a_bad_file_takes_none_from_memory"]),
-    "a ban called at the one process is read by the other": (looks_once, [
-        f"{REAL}::test_a_ban_called_at_the_new_process_binds_the_old_one_too"]),
-    "the list is caught up before a yes": (old_list, [
-        f"{REAL}::test_a_new_process_hears_what_changed_since_its_configuration_before_it_says_yes"]),
-    "a process is there while it holds its lock": (lives_for_good, [
-        f"{REAL}::test_a_new_process_that_dies_leaves_the_old_one_alone_in_its_place"]),
-    "a refused connection alone cuts nothing": (hasty, [
-        "tests/test_network.py::test_a_pump_that_takes_no_more_connections_keeps_its_sessions_for_a_while"]),
-    "what is handed over stands in the load that was told": (counted_twice, [
-        f"{PURE}::test_a_session_handed_over_is_not_counted_on_top_of_the_load_that_held_it"]),
-    "who has left stands under no count": (counts_leavers, [
-        f"{PURE}::test_each_request_stands_in_one_count_exactly_once"]),
+    "who says nothing makes room": (
+        first_come,
+        [f"{REAL}::test_callers_are_answered_beside_those_who_say_nothing"],
+    ),
+    "bans are read before anything is sent": (
+        no_file,
+        [f"{REAL}::test_bans_outlive_a_crash_and_a_bad_file_takes_none_from_memory"],
+    ),
+    "a ban called at the one process is read by the other": (
+        looks_once,
+        [f"{REAL}::test_a_ban_called_at_the_new_process_binds_the_old_one_too"],
+    ),
+    "the list is caught up before a yes": (
+        old_list,
+        [f"{REAL}::test_a_new_process_hears_what_changed_since_its_configuration_before_it_says_yes"],
+    ),
+    "a process is there while it holds its lock": (
+        lives_for_good,
+        [f"{REAL}::test_a_new_process_that_dies_leaves_the_old_one_alone_in_its_place"],
+    ),
+    "a refused connection alone cuts nothing": (
+        hasty,
+        ["tests/test_network.py::test_a_pump_that_takes_no_more_connections_keeps_its_sessions_for_a_while"],
+    ),
+    "what is handed over stands in the load that was told": (
+        counted_twice,
+        [f"{PURE}::test_a_session_handed_over_is_not_counted_on_top_of_the_load_that_held_it"],
+    ),
+    "who has left stands under no count": (
+        counts_leavers,
+        [f"{PURE}::test_each_request_stands_in_one_count_exactly_once"],
+    ),
 }
--- a/tests/store_guards.py
+++ b/tests/store_guards.py
@@ -81,23 +81,45 @@
 
 REAL, PARTS, MODELLED = "tests/test_lab_store.py", "tests/test_store.py", "tests/test_custody.py"
 GUARDS: dict[str, tuple[Callable[[], None], list[str]]] = {
-    "nothing binding is said before it is on the disk": (speaks_first, [
-        f"{MODELLED}::test_what_was_not_safe_was_not_said"]),
-    "a folder is whole by the word of most of its roster": (believes_itself, [
-        f"{PARTS}::test_a_store_is_whole_only_by_most_of_its_roster_and_behind_by_any",
-        f"{REAL}::test_one_empty_one_old_and_one_cloned_folder_are_told_from_whole_ones"]),
-    "who has heard a later mark says so": (believes_any, [
-        f"{PARTS}::test_a_witness_allows_a_claim_only_where_nothing_later_was_heard",
-        f"{REAL}::test_one_empty_one_old_and_one_cloned_folder_are_told_from_whole_ones"]),
-    "a restarted router speaks for the runs that wrote its folder": (forgets_runs, [
-        f"{REAL}::test_all_killed_at_once_and_every_paid_play_goes_on",
-        f"{REAL}::test_killed_again_in_the_middle_of_the_return"]),
+    "nothing binding is said before it is on the disk": (
+        speaks_first,
+        [f"{MODELLED}::test_what_was_not_safe_was_not_said"],
+    ),
+    "a folder is whole by the word of most of its roster": (
+        believes_itself,
+        [
+            f"{PARTS}::test_a_store_is_whole_only_by_most_of_its_roster_and_behind_by_any",
+            f"{REAL}::test_one_empty_one_old_and_one_cloned_folder_are_told_from_whole_ones",
+        ],
+    ),
+    "who has heard a later mark says so": (
+        believes_any,
+        [
+            f"{PARTS}::test_a_witness_allows_a_claim_only_where_nothing_later_was_heard",
+            f"{REAL}::test_one_empty_one_old_and_one_cloned_folder_are_told_from_whole_ones",
+        ],
+    ),
+    "a restarted router speaks for the runs that wrote its folder": (
+        forgets_runs,
+        [
+            f"{REAL}::test_all_killed_at_once_and_every_paid_play_goes_on",
+            f"{REAL}::test_killed_again_in_the_middle_of_the_return",
+        ],
+    ),
     "a damaged row is found": (no_sum, [f"{PARTS}::test_a_flipped_bit_anywhere_is_never_believed"]),
-    "a folder is its owner's": (any_owner, [
-        f"{PARTS}::test_one_process_one_owner_one_version",
-        f"{REAL}::test_one_empty_one_old_and_one_cloned_folder_are_told_from_whole_ones"]),
-    "a commit goes to the file that was opened": (any_file, [
-        f"{PARTS}::test_a_vanished_folder_ends_the_keeping"]),
-    "leases granted before a restart may run still": (no_leases, [
-        f"{MODELLED}::test_a_keeper_that_comes_back_at_once_honours_the_lease_it_had_granted"]),
+    "a folder is its owner's": (
+        any_owner,
+        [
+            f"{PARTS}::test_one_process_one_owner_one_version",
+            f"{REAL}::test_one_empty_one_old_and_one_cloned_folder_are_told_from_whole_ones",
+        ],
+    ),
+    "a commit goes to the file that was opened": (
+        any_file,
+        [f"{PARTS}::test_a_vanished_folder_ends_the_keeping"],
+    ),
+    "leases granted before a restart may run still": (
+        no_leases,
+        [f"{MODELLED}::test_a_keeper_that_comes_back_at_once_honours_the_lease_it_had_granted"],
+    ),
 }
--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -39,8 +39,10 @@
     """The serial number of what is served."""
     context = ssl.create_default_context()
     context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
-    with socket.create_connection(("127.0.0.1", port), WAIT_S) as link, \
-            context.wrap_socket(link, server_hostname=DOMAIN) as tls:
+    with (
+        socket.create_connection(("127.0.0.1", port), WAIT_S) as link,
+        context.wrap_socket(link, server_hostname=DOMAIN) as tls,
+    ):
         tls.sendall(b"GET /play/none/none HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
         assert tls.recv(12) == b"HTTP/1.1 404"
         from cryptography import x509
@@ -52,7 +54,8 @@
     (tmp_path / "site.toml").write_text(
         f'[hls]\nlisten = "127.0.0.1:0"\nkey = "{"k" * 32}"\n[admin]\nlisten = "127.0.0.1:0"\n'
         f'[acme]\ndirectory = "{authority.url}"\ndomains = ["{DOMAIN}"]\nlisten = "127.0.0.1:0"\n'
-        f'state = "{tmp_path / "state"}"\n')
+        f'state = "{tmp_path / "state"}"\n'
+    )
     serials = []
     for _ in range(2):
         with site(tmp_path, 1, deploy=tmp_path / "site.toml") as (program, _, _log):
@@ -76,9 +79,16 @@
         self.deadlines = Deadlines(self.clock)
         self.calls: list[tuple[Any, ...]] = []
         self.called = threading.Semaphore(0)
-        told: dict[str, Any] = {"directory": authority.url, "domains": (DOMAIN,), "contact": "",
-                                "listen": ("127.0.0.1", 0), "state": folder, "ca_file": "",
-                                "renew_before_s": 30 * 86400.0, **changes}
+        told: dict[str, Any] = {
+            "directory": authority.url,
+            "domains": (DOMAIN,),
+            "contact": "",
+            "listen": ("127.0.0.1", 0),
+            "state": folder,
+            "ca_file": "",
+            "renew_before_s": 30 * 86400.0,
+            **changes,
+        }
         self.ready = 0
         self.keeper = Keeper(AcmeSite(**told), self.deadlines, self._call, self._ready, random.Random(1))
 
@@ -124,7 +134,8 @@
 
 
 def test_renewal_comes_before_the_end_and_a_failure_keeps_the_old_one(
-        tmp_path: Path, authority: Authority, answering: dict[str, str]) -> None:
+    tmp_path: Path, authority: Authority, answering: dict[str, str]
+) -> None:
     kept = Kept(authority, tmp_path)
     kept.keeper.proofs = answering
     kept.keeper.start()
@@ -147,8 +158,9 @@
     assert (kept.keeper.error, kept.keeper.failures, authority.issued) == ("", 0, 2)
 
 
-def test_a_damaged_state_is_passed_over(tmp_path: Path, authority: Authority,
-                                        answering: dict[str, str]) -> None:
+def test_a_damaged_state_is_passed_over(
+    tmp_path: Path, authority: Authority, answering: dict[str, str]
+) -> None:
     for name in ("key.pem", "chain.pem"):
         (tmp_path / name).write_text("not a key")
     kept = Kept(authority, tmp_path)
@@ -158,8 +170,9 @@
     assert kept.ready == 1 and authority.issued == 1
 
 
-def test_the_account_of_an_earlier_start_is_used_again(authority: Authority,
-                                                       answering: dict[str, str]) -> None:
+def test_the_account_of_an_earlier_start_is_used_again(
+    authority: Authority, answering: dict[str, str]
+) -> None:
     account = new_account_key()
     for _ in range(2):
         assert b"BEGIN CERTIFICATE" in issue(authority.url, (DOMAIN,), "", "", account, answering).chain_pem
@@ -171,8 +184,15 @@
     with site(tmp_path, 1, deploy=tmp_path / "site.toml") as (program, _, _log):
         port = program.wait_for(r"admin on 127\.0\.0\.1:(\d+)")[1]
         (tmp_path / "console.toml").write_text(f'[admin]\nlisten = "127.0.0.1:{port}"\n')
-        command = [sys.executable, "-m", "cloverhinge", "console", "--once", "--site",
-                   str(tmp_path / "console.toml")]
+        command = [
+            sys.executable,
+            "-m",
+            "cloverhinge",
+            "console",
+            "--once",
+            "--site",
+            str(tmp_path / "console.toml"),
+        ]
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S)
         assert done.returncode == 0 and "s-00000000" in done.stdout and "taken 0" in done.stdout
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -44,9 +44,18 @@
     refused: int = 0
 
     def __post_init__(self) -> None:
-        told = settings(fleet_size=self.routers, cells=self.servers, racks=1, weight_kb=1e5, uplink_kb=1e7,
-                        places_by_kind={"box": PLACES}, cold_us=COLD_US, cold_from=COLD_FROM,
-                        fall_multiple=MULTIPLE, may_probe=False)
+        told = settings(
+            fleet_size=self.routers,
+            cells=self.servers,
+            racks=1,
+            weight_kb=1e5,
+            uplink_kb=1e7,
+            places_by_kind={"box": PLACES},
+            cold_us=COLD_US,
+            cold_from=COLD_FROM,
+            fall_multiple=MULTIPLE,
+            may_probe=False,
+        )
         self.random = random.Random(self.seed)
         self.cold = set(self.random.sample(range(self.servers), round(self.cold_share * self.servers)))
         self.sends = {server: [] for server in self.cold}
@@ -55,8 +64,9 @@
     def _router(self, told: api.Settings, seed: int) -> Controller:
         controller = Controller(told, self.seed * 1000 + seed)
         before = [api.ServerListing(n, n, "z", "box") for n in range(self.servers)]
-        controller.handle(BORN_US - round(self.history_s * SECOND_US),
-                          api.FleetUpdate(api.ListKind.CACHED, tuple(before)))
+        controller.handle(
+            BORN_US - round(self.history_s * SECOND_US), api.FleetUpdate(api.ListKind.CACHED, tuple(before))
+        )
         rows = tuple(api.ServerListing(n, n, "z", "box", started_us=BORN_US) for n in self.cold)
         told_us = BORN_US + round(self.told_s * SECOND_US)
         controller.handle(told_us, api.FleetUpdate(api.ListKind.DELTA, rows))
@@ -101,8 +111,9 @@
 
     def _asked(self, at_us: int, router: int, title: int, number: int) -> bool:
         controller = self.controllers[router]
-        event = api.SessionRequested(number, "film", str(title), title % self.servers, COPIES, 0,
-                                     at_us + 4 * SECOND_US)
+        event = api.SessionRequested(
+            number, "film", str(title), title % self.servers, COPIES, 0, at_us + 4 * SECOND_US
+        )
         for action in controller.handle(at_us, event):
             if isinstance(action, api.SetUp):
                 self.sends[action.server].append(at_us)
@@ -122,9 +133,13 @@
         return worst
 
 
-CASES = {"usual traffic": (20.0, 1.0, 0.6, 0.0), "a burst": (20.0, 4.0, 0.6, 0.0),
-         "a common restart": (0.0, 4.0, 0.6, 0.0), "few cold servers": (20.0, 2.0, 0.1, 0.0),
-         "a start that is told late": (20.0, 4.0, 0.6, 4.0)}  # history, burst, cold share, told after
+CASES = {
+    "usual traffic": (20.0, 1.0, 0.6, 0.0),
+    "a burst": (20.0, 4.0, 0.6, 0.0),
+    "a common restart": (0.0, 4.0, 0.6, 0.0),
+    "few cold servers": (20.0, 2.0, 0.1, 0.0),
+    "a start that is told late": (20.0, 4.0, 0.6, 4.0),
+}  # history, burst, cold share, told after
 
 
 @pytest.mark.parametrize("case", CASES)
--- a/tests/test_custody_model.py
+++ b/tests/test_custody_model.py
@@ -75,11 +75,11 @@
 
 
 def at(items: tuple[Router, ...], number: int, **changed: object) -> tuple[Router, ...]:
-    return (*items[:number], replace(items[number], **changed), *items[number + 1:])  # type: ignore[arg-type]
+    return (*items[:number], replace(items[number], **changed), *items[number + 1 :])  # type: ignore[arg-type]
 
 
 def keep(items: tuple[Keeper, ...], number: int, **changed: object) -> tuple[Keeper, ...]:
-    return (*items[:number], replace(items[number], **changed), *items[number + 1:])  # type: ignore[arg-type]
+    return (*items[:number], replace(items[number], **changed), *items[number + 1 :])  # type: ignore[arg-type]
 
 
 def steps(world: World, rules: Rules) -> Iterator[World]:
@@ -90,20 +90,35 @@
         if rules.claims and not router.tries and router.proposal is None:
             ballot, intent = (1, name, 0), Work(name, 1, Phase.INTENT, True)
             told = {("claim", name, k, (ballot, intent)) for k in range(KEEPERS)}
-            yield replace(world, wire=world.wire | told,
-                          routers=at(world.routers, number, tries=1, claims=True,
-                                     proposal=Proposal(ballot, KEEPERS).writes(intent)))
+            yield replace(
+                world,
+                wire=world.wire | told,
+                routers=at(
+                    world.routers,
+                    number,
+                    tries=1,
+                    claims=True,
+                    proposal=Proposal(ballot, KEEPERS).writes(intent),
+                ),
+            )
         elif rules.claims and router.claims and router.own is None and router.tries < rules.tries:
             proposal = Proposal((2, name, 0), KEEPERS)
             asked = {("prepare", name, k, proposal.ballot) for k in range(KEEPERS)}
-            yield replace(world, wire=world.wire | asked, routers=at(
-                world.routers, number, proposal=proposal, tries=2, claims=False))
-        elif not rules.claims and router.proposal is None and router.tries < rules.tries \
-                and router.own is None:
+            yield replace(
+                world,
+                wire=world.wire | asked,
+                routers=at(world.routers, number, proposal=proposal, tries=2, claims=False),
+            )
+        elif (
+            not rules.claims and router.proposal is None and router.tries < rules.tries and router.own is None
+        ):
             proposal = Proposal((router.tries + 1, name, 0), KEEPERS)
             asked = {("prepare", name, k, proposal.ballot) for k in range(KEEPERS)}
-            yield replace(world, wire=world.wire | asked, routers=at(
-                world.routers, number, proposal=proposal, tries=router.tries + 1))
+            yield replace(
+                world,
+                wire=world.wire | asked,
+                routers=at(world.routers, number, proposal=proposal, tries=router.tries + 1),
+            )
         if router.proposal is not None and router.proposal.prepared and router.proposal.work is None:
             intent = Work(name, 1, Phase.INTENT, True)
             found = router.proposal.found
@@ -111,42 +126,58 @@
             if rules.resends and found is not None and found.phase is Phase.INTENT:
                 work = register.follows(found, name)
             writes = {("accept", name, k, (router.proposal.ballot, work)) for k in range(KEEPERS)}
-            yield replace(world, wire=world.wire | writes, routers=at(
-                world.routers, number, proposal=router.proposal.writes(work)))
-        whole = not router.claims or rules.most or (
-            router.proposal is not None and len(router.proposal.written) == KEEPERS)
+            yield replace(
+                world,
+                wire=world.wire | writes,
+                routers=at(world.routers, number, proposal=router.proposal.writes(work)),
+            )
+        whole = (
+            not router.claims
+            or rules.most
+            or (router.proposal is not None and len(router.proposal.written) == KEEPERS)
+        )
         if router.proposal is not None and router.proposal.chosen and router.own is None and whole:
             own = router.proposal.work
             assert own is not None
-            yield replace(world, chosen=world.chosen | {(own.epoch, own)},
-                          routers=at(world.routers, number, own=own))
-        if router.own is not None and register.owned(router.own) == name and not router.sent \
-                and router.own.phase is not Phase.DOOMED:
+            yield replace(
+                world, chosen=world.chosen | {(own.epoch, own)}, routers=at(world.routers, number, own=own)
+            )
+        if (
+            router.own is not None
+            and register.owned(router.own) == name
+            and not router.sent
+            and router.own.phase is not Phase.DOOMED
+        ):
             assert router.proposal is not None
             granted = router.granted if rules.leases else frozenset(range(KEEPERS))
             if register.may_act(router.own, name, router.proposal.written, granted, KEEPERS):
                 epochs = [x.slot.work.epoch for x in world.keepers if x.slot.work is not None]
                 late = sum(x > router.own.epoch for x in epochs) >= register.majority(KEEPERS)
-                yield replace(world, paid_sent=world.paid_sent + 1, late=world.late or late,
-                              routers=at(world.routers, number, sent=True))
+                yield replace(
+                    world,
+                    paid_sent=world.paid_sent + 1,
+                    late=world.late or late,
+                    routers=at(world.routers, number, sent=True),
+                )
             if rules.claims and router.sent and not router.stands:
                 ballot, stood = (*router.proposal.ballot[:2], 1), replace_work(router.own, Phase.STANDS)
                 writes = {("accept", name, k, (ballot, stood)) for k in range(KEEPERS)}
-                yield replace(world, wire=world.wire | writes, routers=at(
-                    world.routers, number, stands=True))
+                yield replace(world, wire=world.wire | writes, routers=at(world.routers, number, stands=True))
             for k in sorted(router.proposal.written - router.granted):
                 if rules.leases:
                     yield replace(world, wire=world.wire | {("renew", name, k, None)})
         if router.tries:  # it dies, or its clock says that its leases are over, before the keepers' clocks do
-            yield replace(world, routers=(
-                *world.routers[:number], GONE, *world.routers[number + 1:]))
+            yield replace(world, routers=(*world.routers[:number], GONE, *world.routers[number + 1 :]))
     for message in world.wire:
         yield from heard(world, message, rules)
     for k, keeper in enumerate(world.keepers):
         if world.crashes < rules.crashes and not keeper.down:
             lost = Keeper() if rules.forgetful else replace(keeper, down=True)
-            yield replace(world, crashes=world.crashes + 1, keepers=keep(world.keepers, k, **{
-                "slot": lost.slot, "lease": lost.lease, "down": lost.down}))
+            yield replace(
+                world,
+                crashes=world.crashes + 1,
+                keepers=keep(world.keepers, k, **{"slot": lost.slot, "lease": lost.lease, "down": lost.down}),
+            )
         if keeper.lease and not world.routers[ROUTERS.index(keeper.lease)].granted:
             yield replace(world, keepers=keep(world.keepers, k, lease=""))
 
@@ -180,8 +211,12 @@
             return
         # Granted and heard in one step: the owner counts from when it asked, so the keeper's ends later.
         if not router.gone:
-            yield replace(world, keepers=keep(world.keepers, k, lease=name), wire=wire,
-                          routers=at(world.routers, number, granted=router.granted | {k}))
+            yield replace(
+                world,
+                keepers=keep(world.keepers, k, lease=name),
+                wire=wire,
+                routers=at(world.routers, number, granted=router.granted | {k}),
+            )
 
 
 def replace_work(work: Work, phase: Phase) -> Work:
@@ -200,14 +235,24 @@
     starts = []
     for holders in ((0, 1), (0, 1, 2)):
         for leased in ((), (0,), (0, 1)):
-            proposal = Proposal(ballot, KEEPERS, ((0, Promise(ballot, register.NONE, None)),), work,
-                                frozenset(holders))
+            proposal = Proposal(
+                ballot, KEEPERS, ((0, Promise(ballot, register.NONE, None)),), work, frozenset(holders)
+            )
             owner = Router(proposal, 1, work, frozenset(leased))
             late = {("accept", "A", k, (ballot, work)) for k in range(KEEPERS) if k not in holders}
-            starts.append(World(
-                (owner, Router(), Router() if successors > 1 else GONE), tuple(
-                    Keeper(Slot(ballot, ballot, work) if k in holders else EMPTY, "A" if k in leased else "")
-                    for k in range(KEEPERS)), frozenset(late), chosen=frozenset({(1, work)})))
+            starts.append(
+                World(
+                    (owner, Router(), Router() if successors > 1 else GONE),
+                    tuple(
+                        Keeper(
+                            Slot(ballot, ballot, work) if k in holders else EMPTY, "A" if k in leased else ""
+                        )
+                        for k in range(KEEPERS)
+                    ),
+                    frozenset(late),
+                    chosen=frozenset({(1, work)}),
+                )
+            )
     return starts
 
 
@@ -241,37 +286,54 @@
         held[ballot, work] = held.get((ballot, work), 0) + 1
         if claimed:
             fast.add(ballot)
-    chosen = sorted((x for x, count in held.items() if count >= (
-        KEEPERS if x[0] in fast else register.majority(KEEPERS))), key=lambda x: x[0])
+    chosen = sorted(
+        (
+            x
+            for x, count in held.items()
+            if count >= (KEEPERS if x[0] in fast else register.majority(KEEPERS))
+        ),
+        key=lambda x: x[0],
+    )
     for (_, one), (_, after) in itertools.pairwise(chosen):
         if after.epoch < one.epoch or after.epoch == one.epoch and after.owner != one.owner:
             return "what a majority held was replaced by one who did not know of it"
     return ""
 
 
-@pytest.mark.parametrize("rules, starts", [
-    (Rules(crashes=0), claims()), (Rules(), losses()),
-    (Rules(crashes=0, claims=True, tries=1), claims())])
+@pytest.mark.parametrize(
+    "rules, starts",
+    [(Rules(crashes=0), claims()), (Rules(), losses()), (Rules(crashes=0, claims=True, tries=1), claims())],
+)
 def test_no_order_of_events_pays_twice_or_gives_two_owners(rules: Rules, starts: list[World]) -> None:
     states, broken = explored(rules, starts)
     assert not broken and states > (500 if rules.claims else 10_000), (states, broken)
 
 
-@pytest.mark.parametrize("rules, starts", [
-    (Rules(resends=True), losses(2)), (Rules(forgetful=True), claims()), (Rules(leases=False), losses()),
-    (Rules(fences=False), losses())])
+@pytest.mark.parametrize(
+    "rules, starts",
+    [
+        (Rules(resends=True), losses(2)),
+        (Rules(forgetful=True), claims()),
+        (Rules(leases=False), losses()),
+        (Rules(fences=False), losses()),
+    ],
+)
 def test_the_search_finds_what_each_guard_is_for(rules: Rules, starts: list[World]) -> None:
     assert explored(rules, starts)[1]
 
 
 def main() -> None:
     """The larger searches, some minutes: claims with a crash, and two successors."""
-    for what, rules, starts in (("a claim counts once most have taken it (to be found)", Rules(
-                                    crashes=0, claims=True, most=True, tries=2), claims()),
-                                ("two claim, a keeper crashes", Rules(), claims()),
-                                ("two claim without a question, and ask", Rules(
-                                    crashes=0, claims=True, tries=2), claims()),
-                                ("two successors", Rules(crashes=0), losses(2))):
+    for what, rules, starts in (
+        (
+            "a claim counts once most have taken it (to be found)",
+            Rules(crashes=0, claims=True, most=True, tries=2),
+            claims(),
+        ),
+        ("two claim, a keeper crashes", Rules(), claims()),
+        ("two claim without a question, and ask", Rules(crashes=0, claims=True, tries=2), claims()),
+        ("two successors", Rules(crashes=0), losses(2)),
+    ):
         states, broken = explored(rules, starts)
         print(f"{what}: {states} states, {broken or 'no promise broken'}", flush=True)
 
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -124,8 +124,11 @@
         since, wire = follower(other)
         with suppress(OSError):
             first.sock.sendall(line(log.event([pumps[0].row("leaving")])))
-        wire.sock.sendall(line({"seq": 2, "fleet": {"generation": 1, "reset": False,
-                                                    "instances": [pumps[1].row("leaving")]}}))
+        wire.sock.sendall(
+            line(
+                {"seq": 2, "fleet": {"generation": 1, "reset": False, "instances": [pumps[1].row("leaving")]}}
+            )
+        )
         program.wait_for("list 2")
         client = program.connect()
         assert since == 1 and served(client, 1, "title") == 200
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -25,21 +25,39 @@
 class Line:
     """A door before so many equal places; what it lets in stands at once."""
 
-    def __init__(self, places: int = 4, weights: tuple[float, ...] = (1.0, 1.0), waiting: int = 16,
-                 promises: int = 32) -> None:
+    def __init__(
+        self, places: int = 4, weights: tuple[float, ...] = (1.0, 1.0), waiting: int = 16, promises: int = 32
+    ) -> None:
         self.places, self.now, self.count = places, 1_000_000.0, 0
-        clients = [fair.Client(f"c{n}", weight, False, Promises(promises, promises))
-                   for n, weight in enumerate(weights)]
-        self.door = fair.Door(clients, CLASSES, 4, lambda pool: max(0, self.places - len(self.door.held)),
-                              waiting)
+        clients = [
+            fair.Client(f"c{n}", weight, False, Promises(promises, promises))
+            for n, weight in enumerate(weights)
+        ]
+        self.door = fair.Door(
+            clients, CLASSES, 4, lambda pool: max(0, self.places - len(self.door.held)), waiting
+        )
         self.answers: dict[int, list[fair.Verdict]] = {}
         self.clients: dict[int, int] = {}  # of each who asked
 
-    def ask(self, client: int = 0, viewer: int | None = None, pool: fair.Pool = POOL, wait_ms: float = 3000.0,
-            promise: Promise | None = None) -> int:
+    def ask(
+        self,
+        client: int = 0,
+        viewer: int | None = None,
+        pool: fair.Pool = POOL,
+        wait_ms: float = 3000.0,
+        promise: Promise | None = None,
+    ) -> int:
         self.count += 1
-        one = fair.Arrival(self.count, client, 0, pool, self.count if viewer is None else viewer,
-                           self.now + wait_ms, 1.0 / max(self.places, 1), promise)
+        one = fair.Arrival(
+            self.count,
+            client,
+            0,
+            pool,
+            self.count if viewer is None else viewer,
+            self.now + wait_ms,
+            1.0 / max(self.places, 1),
+            promise,
+        )
         self.answers[self.count], self.clients[self.count] = [], client
         self._carry_out(self.door.arrive(self.now, one))
         return self.count
@@ -81,8 +99,9 @@
         assert len(self.door.held) == self.places
 
 
-STEPS = st.lists(st.tuples(st.sampled_from("aaaelpcx"), st.integers(0, 2), st.integers(0, 9), st.booleans()),
-                 max_size=120)
+STEPS = st.lists(
+    st.tuples(st.sampled_from("aaaelpcx"), st.integers(0, 2), st.integers(0, 9), st.booleans()), max_size=120
+)
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
@@ -96,8 +115,12 @@
         before = {x: line.door.clients[x.arrival.client].level for x in line.door.waiters.values()}
         entered = {n for n in line.answers if line.let_in(n)}
         if what == "a":
-            line.ask(client, viewer=which if paid else None, pool=PAID if paid else POOL,
-                     wait_ms=500.0 * (1 + which))
+            line.ask(
+                client,
+                viewer=which if paid else None,
+                pool=PAID if paid else POOL,
+                wait_ms=500.0 * (1 + which),
+            )
         elif what == "e" and line.door.held:
             line.end(sorted(line.door.held)[which % len(line.door.held)])
             new = [n for n in line.answers if line.let_in(n) and n not in entered]
@@ -122,7 +145,8 @@
         assert len(line.door.waiters) <= 4 + fair.RESERVED * 3
         for at, one in enumerate(line.door.clients):
             assert len(one.promises) <= 8 and one.asked == one.let_in + one.refused + one.waiting + sum(
-                1 for n in gone if line.clients[n] == at)
+                1 for n in gone if line.clients[n] == at
+            )
             lanes = [lane for bucket in one.buckets.values() for lane in bucket.lanes.values()]
             assert sum(len(lane.dues) for lane in lanes) == len(one.promises)
             assert all(lane.places for lane in lanes), "empty lanes go"
@@ -136,8 +160,10 @@
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(st.integers(0, 40), st.sampled_from((1.0, 2.0, 4.0))), min_size=1, max_size=6),
-       st.integers(0, 60))
+@given(
+    st.lists(st.tuples(st.integers(0, 40), st.sampled_from((1.0, 2.0, 4.0))), min_size=1, max_size=6),
+    st.integers(0, 60),
+)
 def test_max_min_agrees_with_filling_drop_by_drop(told: list[tuple[int, float]], room: int) -> None:
     demands, weights = [float(x) for x, _ in told], [w for _, w in told]
     shares, drop = [0.0] * len(told), 0.01
@@ -187,8 +213,11 @@
     line = Line(places=4, waiting=400)
     line.steady()
     came: list[str] = []
-    numbers = {line.ask(0, pool=pool, wait_ms=limit): name for _ in range(60)
-               for pool, limit, name in ((PAID, 3e8, "paid"), (POOL, 5e8, "free"))}
+    numbers = {
+        line.ask(0, pool=pool, wait_ms=limit): name
+        for _ in range(60)
+        for pool, limit, name in ((PAID, 3e8, "paid"), (POOL, 5e8, "free"))
+    }
     seen: set[int] = set()
     for _ in range(60):
         line.end(min(line.door.held))
@@ -291,16 +320,21 @@
     maple = ClientSite("maple", 1.0, (ip_network("10.1.0.0/16"),), b"m" * 16)
     birch = ClientSite("birch", 1.0, (ip_network("10.1.2.0/24"), ip_network("fd00::/8")))
     clients = Clients((maple, birch, ClientSite("others")))
-    assert [clients.identify(peer, "", "", "p") for peer in ("10.1.9.9", "10.1.2.9", "fd00::1", "9.9.9.9",
-    "?")
-            ] == [0, 1, 1, 2, 2]
+    assert [
+        clients.identify(peer, "", "", "p") for peer in ("10.1.9.9", "10.1.2.9", "fd00::1", "9.9.9.9", "?")
+    ] == [0, 1, 1, 2, 2]
     good = prove(b"m" * 16, "maple", "play-1")
     assert good == hmac.new(b"m" * 16, b"maple/play-1", "sha256").hexdigest()
     assert clients.identify("9.9.9.9", "maple", good.upper(), "play-1") == 0
-    for name, proof, what in (("maple", good, "play-2"), ("maple", good[:-1], "play-1"), ("maple", "",
-    "play-1"),
-                              ("birch", prove(b"", "birch", "play-1"), "play-1"), ("", good, "play-1"),
-                              ("nobody", prove(b"", "nobody", "play-1"), "play-1"), ("maple", "é", "play-1")):
+    for name, proof, what in (
+        ("maple", good, "play-2"),
+        ("maple", good[:-1], "play-1"),
+        ("maple", "", "play-1"),
+        ("birch", prove(b"", "birch", "play-1"), "play-1"),
+        ("", good, "play-1"),
+        ("nobody", prove(b"", "nobody", "play-1"), "play-1"),
+        ("maple", "é", "play-1"),
+    ):
         with pytest.raises(Forged):
             clients.identify("9.9.9.9", name, proof, what)
 
--- a/tests/test_door_network.py
+++ b/tests/test_door_network.py
@@ -23,10 +23,22 @@
 @contextmanager
 def door(folder: Path, boxes: list[Any], key: str = f'key = "{"d" * 32}"') -> Iterator[Program]:
     """One box with two places; the client maple vouches for its viewers."""
-    told = ['[hls]', 'listen = "127.0.0.1:0"', f'key = "{"k" * 32}"', '[hls.boxes]',
-            *(f'{box.name} = "{box.origin}"' for box in boxes if isinstance(box, MediaBox)),
-            '[hls.titles.intro]', 'copies = 1', '[admin]', 'listen = "127.0.0.1:0"',
-            '[door]', key, 'quote_most_s = 600', '[clients.maple]', f'key = "{KEY}"']
+    told = [
+        "[hls]",
+        'listen = "127.0.0.1:0"',
+        f'key = "{"k" * 32}"',
+        "[hls.boxes]",
+        *(f'{box.name} = "{box.origin}"' for box in boxes if isinstance(box, MediaBox)),
+        "[hls.titles.intro]",
+        "copies = 1",
+        "[admin]",
+        'listen = "127.0.0.1:0"',
+        "[door]",
+        key,
+        "quote_most_s = 600",
+        "[clients.maple]",
+        f'key = "{KEY}"',
+    ]
     (folder / "site.toml").write_text("\n".join(told))
     with site(folder, pumps=boxes, deploy=folder / "site.toml", specifics=SMALL) as (program, _, _):
         yield program
@@ -34,8 +46,15 @@
 
 def setup(wire: Wire, number: int, wait_ms: int = 1000, **fields: Any) -> str:
     name = f"{number:016x}"
-    wire.send("SETUP rtsp://media/7f3a RTSP/1.0", name, X_Call_Class="free", X_Ring_Limit=str(wait_ms),
-              X_Guess="60000.0", X_Dest=f"home:0;copies:1;top:0;viewer:{number % 100:016x}", **fields)
+    wire.send(
+        "SETUP rtsp://media/7f3a RTSP/1.0",
+        name,
+        X_Call_Class="free",
+        X_Ring_Limit=str(wait_ms),
+        X_Guess="60000.0",
+        X_Dest=f"home:0;copies:1;top:0;viewer:{number % 100:016x}",
+        **fields,
+    )
     return name
 
 
--- a/tests/test_door_world.py
+++ b/tests/test_door_world.py
@@ -27,8 +27,9 @@
 ALDER = ClientSite("alder", 1.0, (ip_network("10.3.0.0/16"),))
 
 
-def world(*crowds: Crowd, weights: tuple[float, ...] = (1.0, 1.0, 1.0), boxes: int = 4, each: int = 25,
-          **more: Any) -> tuple[World, Gate]:
+def world(
+    *crowds: Crowd, weights: tuple[float, ...] = (1.0, 1.0, 1.0), boxes: int = 4, each: int = 25, **more: Any
+) -> tuple[World, Gate]:
     made = World(settings(boxes, each, **more), list(crowds), boxes=boxes)
     named = zip((MAPLE, BIRCH, ALDER), weights, strict=True)
     clients = [replace(one, weight=weight) for one, weight in named]
@@ -85,8 +86,11 @@
 
 def test_seats_of_one_title_hold_and_who_waits_gets_them() -> None:
     kind = replace(CLASSES[0], seats=3)
-    made, gate = world(crowd("maple", 2.0, length_ms=4000.0), crowd("birch", 2.0, length_ms=4000.0),
-                       classes=(kind, CLASSES[1]))
+    made, gate = world(
+        crowd("maple", 2.0, length_ms=4000.0),
+        crowd("birch", 2.0, length_ms=4000.0),
+        classes=(kind, CLASSES[1]),
+    )
     for _ in range(200):
         made.run(200.0)
         held = sum(1 for x in made.router.requests if x.state is State.STANDS or x.attempt is not None)
@@ -120,7 +124,8 @@
 
 
 def test_everybody_is_answered_once_and_in_time_when_the_program_ends(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     made, gate = world(crowd("maple", 30.0), crowd("birch", 30.0))
     made.run(5_000.0)
     waiting = [made.router.requests.get(n) for n in gate.door.waiters]
--- a/tests/test_example.py
+++ b/tests/test_example.py
@@ -11,8 +11,9 @@
 
 
 def test_a_newcomer_s_first_steps() -> None:
-    done = subprocess.run([sys.executable, "example/demo.py"], cwd=ROOT, capture_output=True, text=True,
-                          timeout=6 * WAIT_S)
+    done = subprocess.run(
+        [sys.executable, "example/demo.py"], cwd=ROOT, capture_output=True, text=True, timeout=6 * WAIT_S
+    )
     assert done.returncode == 0, done.stderr
     assert "names 5 segments" in done.stdout and "has 188 bytes" in done.stdout
     assert re.search(r"^toy-1 .* ready +up +1 ", done.stdout, re.M) and "ended with 0" in done.stdout
@@ -20,8 +21,13 @@
 
 def test_the_command_line_checks_and_names_itself(tmp_path: Path) -> None:
     def run(*words: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run([sys.executable, "-m", "cloverhinge", *words], cwd=ROOT, text=True,
-                              capture_output=True, timeout=WAIT_S)
+        return subprocess.run(
+            [sys.executable, "-m", "cloverhinge", *words],
+            cwd=ROOT,
+            text=True,
+            capture_output=True,
+            timeout=WAIT_S,
+        )
 
     assert run("version").stdout.startswith("cloverhinge 0.")
     done = run("check", "example/config.json", "--site", "example/site.toml")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -212,9 +212,17 @@
     assert answered | waiting >= set(sessions) | set(range(3, 8))
 
 
-@pytest.mark.parametrize("odd", [
-    {"fleet_size": 1}, {"fleet_size": 2, "self_index": 90}, {"uplink_kb": 0.0}, {"cold_us": 0},
-    {"told_every_us": 0}, {"places_by_kind": {}}])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"fleet_size": 1},
+        {"fleet_size": 2, "self_index": 90},
+        {"uplink_kb": 0.0},
+        {"cold_us": 0},
+        {"told_every_us": 0},
+        {"places_by_kind": {}},
+    ],
+)
 def test_odd_but_legal_settings_and_loads_do_not_crash(odd: dict[str, Any]) -> None:
     drive = Drive(settings(may_probe=True, **odd))
     for n in range(60):
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -67,17 +67,27 @@
 def test_what_the_build_leaves_is_all_that_a_start_reads(tmp_path: Path, program: str) -> None:
     """Guards 200 starts at once: compiling from source took two thirds of each."""
     deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
-    shutil.copytree(ROOT / "cloverhinge", tmp_path / "cloverhinge",
-                    ignore=shutil.ignore_patterns("__pycache__"))
+    shutil.copytree(
+        ROOT / "cloverhinge", tmp_path / "cloverhinge", ignore=shutil.ignore_patterns("__pycache__")
+    )
     last = deploy["build"].split("&&")[-1]
     assert "compileall" in last
-    subprocess.run(last.replace(".venv/bin/python", sys.executable).replace(".venv/lib", ""), shell=True,
-                   cwd=tmp_path, check=True)
+    subprocess.run(
+        last.replace(".venv/bin/python", sys.executable).replace(".venv/lib", ""),
+        shell=True,
+        cwd=tmp_path,
+        check=True,
+    )
     command = deploy[program].split()
     flags = [word for word in command if word in ("-O", "-B")]
     module = "cloverhinge.node" if program == "run" else "cloverhinge.wirehost"
-    seen = subprocess.run([sys.executable, *flags, "-v", "-c", f"import {module}"], cwd=tmp_path,
-                          capture_output=True, text=True, check=True).stderr
+    seen = subprocess.run(
+        [sys.executable, *flags, "-v", "-c", f"import {module}"],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stderr
     own = [line for line in seen.splitlines() if str(tmp_path) in line and "cloverhinge" in line]
     assert any("matches" in line for line in own)
     assert not [line for line in own if "code object from '" in line and line.rstrip("'").endswith(".py")]
@@ -142,6 +152,7 @@
                 else:
                     reset.append(message.session)
                     wire.close(reset=True)
+
             return script
 
         for pump in pumps:
@@ -214,9 +225,14 @@
         for at in range(HERD):
             config = tmp_path / f"{at}.json"
             config.write_text(json.dumps(Program.configuration(f"n{at}", log, known)))
-            running.append(subprocess.Popen([sys.executable, "-m", "cloverhinge", "serve"], cwd=ROOT,
-                                            stderr=(tmp_path / f"{at}.log").open("wb"),
-                                            env={**os.environ, "LB_CONFIG": str(config)}))
+            running.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "cloverhinge", "serve"],
+                    cwd=ROOT,
+                    stderr=(tmp_path / f"{at}.log").open("wb"),
+                    env={**os.environ, "LB_CONFIG": str(config)},
+                )
+            )
         first = [0.0] * HERD
         for at, _ in enumerate(running):
             first[at] = up(tmp_path / f"{at}.log", began)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -24,8 +24,14 @@
 
 
 def set_up(number: int) -> bytes:
-    return messages.request("SETUP", "rtsp://media/title", 1, f"{number:016x}", {
-        "X-Call-Class": "film", "X-Ring-Limit": "3000", "X-Dest": "home:0;copies:3;top:1"}, b"v=0")
+    return messages.request(
+        "SETUP",
+        "rtsp://media/title",
+        1,
+        f"{number:016x}",
+        {"X-Call-Class": "film", "X-Ring-Limit": "3000", "X-Dest": "home:0;copies:3;top:1"},
+        b"v=0",
+    )
 
 
 class Asking:
--- a/tests/test_hls.py
+++ b/tests/test_hls.py
@@ -20,9 +20,11 @@
 
 from cloverhinge.lab.stand import WAIT_S, ChangeLog, Program, Pump, site
 
-MASTER = ("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=800000\n{0}/low.m3u8\n"
-          "#EXT-X-STREAM-INF:BANDWIDTH=1600000\n{0}/high.m3u8\n")
-MEDIA = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-KEY:METHOD=AES-128,URI=\"k\"\n#EXTINF:4,\nseg1.ts\n"
+MASTER = (
+    "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=800000\n{0}/low.m3u8\n"
+    "#EXT-X-STREAM-INF:BANDWIDTH=1600000\n{0}/high.m3u8\n"
+)
+MEDIA = '#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-KEY:METHOD=AES-128,URI="k"\n#EXTINF:4,\nseg1.ts\n'
 
 
 class MediaBox(Pump):
@@ -110,10 +112,19 @@
 def hls_site(folder: Path, **more: Any) -> Iterator[Stand]:
     arrived: queue.Queue[MediaBox] = queue.Queue()
     boxes = [MediaBox(f"s-{n:08x}", n, arrived) for n in range(2)]
-    told = ['[hls]', 'listen = "127.0.0.1:0"', 'key = "0123456789abcdef0123456789abcdef"',
-            f'idle_s = {more.pop("idle_s", 30)}', 'manifest_kb = 64', '[hls.boxes]',
-            *(f'{box.name} = "{box.origin}"' for box in boxes), '[hls.titles.intro]', 'copies = 3',
-            '[hls.titles.other]', 'copies = 3']
+    told = [
+        "[hls]",
+        'listen = "127.0.0.1:0"',
+        'key = "0123456789abcdef0123456789abcdef"',
+        f'idle_s = {more.pop("idle_s", 30)}',
+        "manifest_kb = 64",
+        "[hls.boxes]",
+        *(f'{box.name} = "{box.origin}"' for box in boxes),
+        "[hls.titles.intro]",
+        "copies = 3",
+        "[hls.titles.other]",
+        "copies = 3",
+    ]
     (folder / "site.toml").write_text("\n".join(told))
     with site(folder, pumps=boxes, deploy=folder / "site.toml", **more) as (program, _, log):
         yield program, Player(program), boxes, log
@@ -196,11 +207,19 @@
             box.status = 200
 
 
-@pytest.mark.parametrize("path,status", [
-    ("/play/none/intro?play=attempt-1", 404), ("/play/free/none?play=attempt-1", 404), ("/other", 404),
-    ("/play/paid/intro", 400), ("/play/paid/intro?play=short", 400),
-    ("/play/paid/intro?play=%ff%ff%ff%ff%ff%ff%ff%ff", 400),
-    ("/play/paid/intro?play=attempt-1&play=attempt-2", 400), ("/play/free/%ff?play=attempt-1", 400)])
+@pytest.mark.parametrize(
+    "path,status",
+    [
+        ("/play/none/intro?play=attempt-1", 404),
+        ("/play/free/none?play=attempt-1", 404),
+        ("/other", 404),
+        ("/play/paid/intro", 400),
+        ("/play/paid/intro?play=short", 400),
+        ("/play/paid/intro?play=%ff%ff%ff%ff%ff%ff%ff%ff", 400),
+        ("/play/paid/intro?play=attempt-1&play=attempt-2", 400),
+        ("/play/free/%ff?play=attempt-1", 400),
+    ],
+)
 def test_what_can_t_be_asked_for_reaches_no_box(tmp_path: Path, path: str, status: int) -> None:
     with hls_site(tmp_path) as (_, player, boxes, _log):
         assert player.get(path)[0] == status
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -28,7 +28,8 @@
         midway.sock.sendall(
             b"9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: 0000000000000002\r\nX-Call-Class: free\r\n"
             b"X-Ring-Limit: 9000\r\nX-Dest: home:0;copies:3;top:1;viewer:00000000b4d65521\r\n"
-            b"Content-Length: 0\r\n\r\n")
+            b"Content-Length: 0\r\n\r\n"
+        )
         select.select([watcher.sock], [], [], OVERDUE_S)  # nothing comes: the limits pass meanwhile
         program.go_on()
         assert answer(silent).status == 200
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -17,8 +17,16 @@
     assert parse(f"# about\n\n{LINE}\n") == [KnownRed("test_some.py::test_one", "a cause", "33")]
 
 
-@pytest.mark.parametrize("text", ["test_some.py::test_one", "a | b", "a | | c", f"{LINE}\n{LINE}",
-                                  "\n".join(f"t{n} | cause | 33" for n in range(4))])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "test_some.py::test_one",
+        "a | b",
+        "a | | c",
+        f"{LINE}\n{LINE}",
+        "\n".join(f"t{n} | cause | 33" for n in range(4)),
+    ],
+)
 def test_a_bad_or_long_list_is_refused(text: str) -> None:
     with pytest.raises(BadList):
         parse(text)
@@ -28,16 +36,25 @@
     assert missing(parse(LINE), ["test_some.py::test_two"]) == ["test_some.py::test_one"]
 
 
-@pytest.mark.parametrize("listed,body,passes", [
-    (True, "assert False", True), (True, "pass", False),
-    (False, "assert False", False), (False, "pass", True)])
+@pytest.mark.parametrize(
+    "listed,body,passes",
+    [
+        (True, "assert False", True),
+        (True, "pass", False),
+        (False, "assert False", False),
+        (False, "pass", True),
+    ],
+)
 def test_only_the_failure_of_a_listed_test_is_passed_over(
-        tmp_path: Path, listed: bool, body: str, passes: bool) -> None:
+    tmp_path: Path, listed: bool, body: str, passes: bool
+) -> None:
     (tmp_path / "conftest.py").write_text(
         "from tests.known_red import mark, parse\n"
-        f"def pytest_collection_modifyitems(items):\n    mark(items, parse({LINE if listed else ''!r}))\n")
+        f"def pytest_collection_modifyitems(items):\n    mark(items, parse({LINE if listed else ''!r}))\n"
+    )
     (tmp_path / "test_some.py").write_text(f"def test_one():\n    {body}\n")
     command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", str(tmp_path)]
-    done = subprocess.run(command, cwd=tmp_path, env={"PYTHONPATH": str(ROOT)},
-                          capture_output=True, text=True, check=False)
+    done = subprocess.run(
+        command, cwd=tmp_path, env={"PYTHONPATH": str(ROOT)}, capture_output=True, text=True, check=False
+    )
     assert (done.returncode == 0) is passes, done.stdout
--- a/tests/test_lab_custody.py
+++ b/tests/test_lab_custody.py
@@ -151,6 +151,7 @@
 
 def test_two_fetches_at_two_routers_at_once_are_one_set_up(tmp_path: Path) -> None:
     with keeping(tmp_path, titles=60) as made:
+
         def both(number: int) -> None:
             with ThreadPoolExecutor(2) as pool:
                 at = made[number % 5], made[(number + 2) % 5]
@@ -293,16 +294,29 @@
 def test_a_promise_of_one_router_is_honoured_by_another_and_claimed_once(tmp_path: Path) -> None:
     small = {**SETTINGS["specifics"], "placesByKind": [2], "cells": 1}
     tables = f'[door]\nkey = "{"d" * 32}"\nquote_most_s = 600\n[custody]\nrouters = 3\n'
-    with rig(tmp_path, 3, pumps=[Pump("s-00000000", 0)], tables=tables, program=guards.program(), gated=False,
-             specifics=small) as made:
+    with rig(
+        tmp_path,
+        3,
+        pumps=[Pump("s-00000000", 0)],
+        tables=tables,
+        program=guards.program(),
+        gated=False,
+        specifics=small,
+    ) as made:
         until_rostered(made)
 
         def ask(at: int, session: int, ticket: str = "") -> Message:
             wire = Wire(socket.create_connection(made[at].ports["listening"], WAIT_S))
             more: dict[str, Any] = {"X_Ticket": ticket} if ticket else {}
-            wire.send("SETUP rtsp://media/7f3a RTSP/1.0", f"{session:016x}", X_Call_Class="free",
-                      X_Ring_Limit="1000", X_Guess="60000.0",
-                      X_Dest=f"home:0;copies:1;top:0;viewer:{min(session, 3):016x}", **more)
+            wire.send(
+                "SETUP rtsp://media/7f3a RTSP/1.0",
+                f"{session:016x}",
+                X_Call_Class="free",
+                X_Ring_Limit="1000",
+                X_Guess="60000.0",
+                X_Dest=f"home:0;copies:1;top:0;viewer:{min(session, 3):016x}",
+                **more,
+            )
             told = wire.read()
             wire.close()
             assert told is not None
@@ -338,8 +352,15 @@
         made.hub.cut(["r1"], [x.name for x in made.boxes])
         session = f"{7:016x}"
         first = later(lambda: set_up(made, made[1], session, "t0"))
-        until_told(made, "its intent is kept", lambda: any(console.ask(
-            x.ports["admin"], f"custody {session}").get("found") for x in made.routers if x is not made[1]))
+        until_told(
+            made,
+            "its intent is kept",
+            lambda: any(
+                console.ask(x.ports["admin"], f"custody {session}").get("found")
+                for x in made.routers
+                if x is not made[1]
+            ),
+        )
         made[1].kill()
         first.join(SOON_S)
         deadline = time.monotonic() + SOON_S
--- a/tests/test_lab_members.py
+++ b/tests/test_lab_members.py
@@ -57,9 +57,12 @@
         deadline, table = time.monotonic() + SOON_S, ""
         while len([x for x in table.splitlines() if " 4 of 4 " in x]) < 5:  # heard by all, a moment later
             assert time.monotonic() < deadline, table
-            table = subprocess.run([sys.executable, "-m", "cloverhinge", "members", "--site",
-                                    str(tmp_path / "show.toml")], cwd=ROOT, capture_output=True,
-                                   text=True).stdout
+            table = subprocess.run(
+                [sys.executable, "-m", "cloverhinge", "members", "--site", str(tmp_path / "show.toml")],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+            ).stdout
         assert "5 of 5 in" in table, table
 
 
@@ -69,12 +72,22 @@
         made[2].start()
         made[2].until_started()
         made.until_agreed(seconds=SOON_S)
-        made.record.until(lambda: all(any(
-            x.told["name"] == "r2" and x.told["incarnation"] == 2 for x in made.record.of("changed", y.name))
-            for y in made.routers), SOON_S, "the second incarnation everywhere")
+        made.record.until(
+            lambda: all(
+                any(
+                    x.told["name"] == "r2" and x.told["incarnation"] == 2
+                    for x in made.record.of("changed", y.name)
+                )
+                for y in made.routers
+            ),
+            SOON_S,
+            "the second incarnation everywhere",
+        )
         later_kill(made, 4, made.routers[:4])
-        assert all(sum(x.told["incarnation"] > 2 for x in made.record.of("changed", y.name)) == 0
-                   for y in made.routers)
+        assert all(
+            sum(x.told["incarnation"] > 2 for x in made.record.of("changed", y.name)) == 0
+            for y in made.routers
+        )
 
 
 def test_a_pause_under_the_bound_and_one_over_it(tmp_path: Path) -> None:
@@ -88,14 +101,24 @@
         made[0].wake()
         made.until_agreed(made.routers[:4], SOON_S)
         assert made[0].said("was held for dead")
-        assert len([x for x in made.record.of("changed", "r1") if x.told["name"] == "r0"
-                    and x.told["to"] == "returned"]) == 1
+        assert (
+            len(
+                [
+                    x
+                    for x in made.record.of("changed", "r1")
+                    if x.told["name"] == "r0" and x.told["to"] == "returned"
+                ]
+            )
+            == 1
+        )
 
 
 def test_all_paused_at_once(tmp_path: Path) -> None:
     with five(tmp_path) as made:  # the first is suspect already when the others begin to sleep
-        play(made, [Step(0.0, "pause", (0,)), Step(2.0, "pause", (1, 2, 3, 4)),
-                    Step(7.0, "wake", tuple(range(5)))])
+        play(
+            made,
+            [Step(0.0, "pause", (0,)), Step(2.0, "pause", (1, 2, 3, 4)), Step(7.0, "wake", tuple(range(5)))],
+        )
         made.record.until(lambda: all(x.said("away for") for x in made.routers), SOON_S, "all know it")
         later_kill(made, 4, made.routers[:4])
         assert dead(made) == {"r4"}
@@ -219,16 +242,24 @@
         (made[4].folder / "config.json").write_text(text)
         twin = subprocess.Popen(
             [sys.executable, *guards.program(), "serve", "--site", str(made[4].folder / "site.toml")],
-            cwd=ROOT, stderr=subprocess.PIPE, text=True,
-            env={**os.environ, "LB_CONFIG": str(made[4].folder / "config.json")})
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "LB_CONFIG": str(made[4].folder / "config.json")},
+        )
         limit = threading.Timer(SOON_S, twin.kill)  # its log ends then, and the test with it
         limit.start()
         try:
             assert twin.stderr is not None
             for line in twin.stderr:
                 if "members: listening" in line:
-                    made.hub.attach("r4", (made[4].host, int(line.split("members: listening on ")[1]
-                                                             .split(",")[0].split(":")[1])))
+                    made.hub.attach(
+                        "r4",
+                        (
+                            made[4].host,
+                            int(line.split("members: listening on ")[1].split(",")[0].split(":")[1]),
+                        ),
+                    )
                 if "is another living router's" in line:
                     break
             else:
@@ -266,8 +297,9 @@
 
 def test_schedules_come_from_files_and_say_what_is_wrong_with_them(tmp_path: Path) -> None:
     path = tmp_path / "schedule.toml"
-    path.write_text('[[step]]\nat_s = 2\nact = "heal"\n'
-                    '[[step]]\nat_s = 1\nact = "cut"\nwho = [0]\nothers = [1]\n')
+    path.write_text(
+        '[[step]]\nat_s = 2\nact = "heal"\n' '[[step]]\nat_s = 1\nact = "cut"\nwho = [0]\nothers = [1]\n'
+    )
     assert [x.act for x in read(path)] == ["cut", "heal"]
     path.write_text('[[step]]\nat_s = 2\nact = "burn"\n')
     with pytest.raises(ValueError, match="step 1: nothing is called burn"):
--- a/tests/test_lab_store.py
+++ b/tests/test_lab_store.py
@@ -23,8 +23,7 @@
 @contextmanager
 def storing(path: Path, count: int = 5, titles: int = 20) -> Iterator[Rig]:
     """No paid play may be set up twice, whatever a test does."""
-    with viewers.keeping(path, count, titles, idle_s=120.0, program=guards.program(),
-                         stores=True) as made:
+    with viewers.keeping(path, count, titles, idle_s=120.0, program=guards.program(), stores=True) as made:
         yield made
         twice = {title: n for title, n in set_ups(made.record).items() if n > 1}
         assert not twice, (twice, made.record.tail(100))
@@ -85,8 +84,7 @@
         shutil.copytree(folder(made[1]), tmp_path / "old")
         begin(made, [made[1]])
         told(made, range(7, 14))
-        made.poll("marks are told", lambda: all(
-            store_of(x)["waiting"] == 0 for x in made.routers), SOON_S)
+        made.poll("marks are told", lambda: all(store_of(x)["waiting"] == 0 for x in made.routers), SOON_S)
         for router in made.routers:
             router.kill()
         shutil.rmtree(folder(made[0]))
@@ -109,8 +107,10 @@
 
 
 def votes(made: Rig, router: Router) -> bool:
-    return any(re.search(r"custody: votes in roster", x.told["line"])
-               for x in made.record.of("log", router.name, router.begun_ms))
+    return any(
+        re.search(r"custody: votes in roster", x.told["line"])
+        for x in made.record.of("log", router.name, router.begun_ms)
+    )
 
 
 def test_a_folder_that_vanishes_under_way_takes_its_router_out_and_nothing_else(tmp_path: Path) -> None:
--- a/tests/test_list_updates.py
+++ b/tests/test_list_updates.py
@@ -13,14 +13,21 @@
 from cloverhinge.discovery.updates import ListUpdate, parse_update, server_number
 from cloverhinge.discovery.watch import DiscoveryWatch, WatchConnection
 
-ROW: dict[str, Any] = {"instanceId": "s-00c41f7a", "hostPort": "10.1.0.9:5060", "zone": "east",
-                       "machineType": "std", "cell": 2, "lifecycle": "leaving", "weight": 4,
-                       "startedAtMs": 1500.0}
+ROW: dict[str, Any] = {
+    "instanceId": "s-00c41f7a",
+    "hostPort": "10.1.0.9:5060",
+    "zone": "east",
+    "machineType": "std",
+    "cell": 2,
+    "lifecycle": "leaving",
+    "weight": 4,
+    "startedAtMs": 1500.0,
+}
 
 
 def test_a_platform_id_holds_the_number_that_the_simulator_gives() -> None:
     """Guards against titles that begin at other holders than in the simulator, which moved a day by 0.08."""
-    assert server_number("s-00c41f7a") == 0x00c41f7a
+    assert server_number("s-00c41f7a") == 0x00C41F7A
     others = [server_number(name) for name in ("s-00c41f7A", "s-00c41f7a0", "box-1", "box-2")]
     assert len(set(others)) == 4 and min(others) >= 1 << 32
 
@@ -31,15 +38,27 @@
     box, listing = change.rows[0]
     assert (box.name, box.host, box.port) == ("s-00c41f7a", "10.1.0.9", 5060)
     assert (listing.server, listing.cell, listing.kind, listing.health) == (
-        box.number, 2, "std", Health.DRAINING)
+        box.number,
+        2,
+        "std",
+        Health.DRAINING,
+    )
     assert (listing.weight, listing.started_us) == (4.0, 1_500_000)
     assert parse_update({"seq": 42, "unheard": {}}) is None
 
 
-@pytest.mark.parametrize("event", [
-    [], {}, {"seq": "x"}, {"seq": 1, "fleet": []}, {"seq": 1, "fleet": {"instances": [1]}},
-    {"seq": 1, "fleet": {"instances": [{**ROW, "lifecycle": "odd"}]}},
-    {"seq": 1, "fleet": {"instances": [{**ROW, "hostPort": "nowhere"}]}}])
+@pytest.mark.parametrize(
+    "event",
+    [
+        [],
+        {},
+        {"seq": "x"},
+        {"seq": 1, "fleet": []},
+        {"seq": 1, "fleet": {"instances": [1]}},
+        {"seq": 1, "fleet": {"instances": [{**ROW, "lifecycle": "odd"}]}},
+        {"seq": 1, "fleet": {"instances": [{**ROW, "hostPort": "nowhere"}]}},
+    ],
+)
 def test_what_is_no_event_is_refused(event: Any) -> None:
     with pytest.raises(ValueError):
         parse_update(event)
--- a/tests/test_manifests.py
+++ b/tests/test_manifests.py
@@ -36,24 +36,35 @@
 
 
 def urls(text: str) -> list[str]:
-    return re.findall(r'URI="([^"]*)"', text) + [line for line in text.split("\n")
-                                                 if line and not line.startswith("#")]
+    return re.findall(r'URI="([^"]*)"', text) + [
+        line for line in text.split("\n") if line and not line.startswith("#")
+    ]
 
 
 def test_every_uri_of_a_media_playlist_leads_to_its_box() -> None:
     manifest = parse(MEDIA)
     text = rewrite(manifest, BASE + "/low/index.m3u8", lambda n: "never", 0)
     home = "http://10.0.0.9:8080"
-    assert urls(text) == [f"{home}/sessions/00ff/key1", "skd://key", f"{home}/sessions/00ff/low/init.mp4",
-                          f"{home}/abs/seg7.m4s", f"{home}/sessions/00ff/low/seg8.m4s?x=1"]
+    assert urls(text) == [
+        f"{home}/sessions/00ff/key1",
+        "skd://key",
+        f"{home}/sessions/00ff/low/init.mp4",
+        f"{home}/abs/seg7.m4s",
+        f"{home}/sessions/00ff/low/seg8.m4s?x=1",
+    ]
     assert "#EXT-X-CUSTOM:kept" in text and manifest.complete
     assert (manifest.duration_ms, manifest.target_s, manifest.next_sequence) == (7500.0, 4, 9)
-    assert ended(manifest).split("\n")[2:] == ["#EXT-X-TARGETDURATION:4", "#EXT-X-MEDIA-SEQUENCE:9",
-                                               "#EXT-X-ENDLIST", ""]
+    assert ended(manifest).split("\n")[2:] == [
+        "#EXT-X-TARGETDURATION:4",
+        "#EXT-X-MEDIA-SEQUENCE:9",
+        "#EXT-X-ENDLIST",
+        "",
+    ]
 
 
-@pytest.mark.parametrize("cap,named", [
-    (1600000.0, ["p0", "p3", "p1", "p2"]), (900000.0, ["p0", "p1"]), (1.0, ["p0", "p1"])])
+@pytest.mark.parametrize(
+    "cap,named", [(1600000.0, ["p0", "p3", "p1", "p2"]), (900000.0, ["p0", "p1"]), (1.0, ["p0", "p1"])]
+)
 def test_a_multivariant_playlist_is_capped_and_leads_through_the_router(cap: float, named: list[str]) -> None:
     text = rewrite(parse(MASTER), BASE, lambda n: f"p{n}", cap)
     assert [url for url in urls(text) if "key0" not in url] == named
@@ -61,19 +72,35 @@
     assert text.count("#EXT-X-STREAM-INF") == len([x for x in named if x in ("p1", "p2")])
 
 
-@pytest.mark.parametrize("data,words", [
-    (b"", "no #EXTM3U"), (b"<html>", "no #EXTM3U"), (b"#EXTM3U\n\xff", "UTF-8"),
-    (b"#EXTM3U\n" + b"x" * 300_000, "over"), (b"#EXTM3U\n#EXTINF:4,\nseg.ts\n", "TARGETDURATION"),
-    (b"#EXTM3U\n#EXT-X-STREAM-INF:AUDIO=\"a\"\nv.m3u8\n", "bandwidth"),
-    (b"#EXTM3U\n#EXT-X-TARGETDURATION:oops\n#EXTINF:4,\ns.ts\n", ""),
-    (b"#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXTINF:4,\ns\x00.ts\n", "control")])
+@pytest.mark.parametrize(
+    "data,words",
+    [
+        (b"", "no #EXTM3U"),
+        (b"<html>", "no #EXTM3U"),
+        (b"#EXTM3U\n\xff", "UTF-8"),
+        (b"#EXTM3U\n" + b"x" * 300_000, "over"),
+        (b"#EXTM3U\n#EXTINF:4,\nseg.ts\n", "TARGETDURATION"),
+        (b'#EXTM3U\n#EXT-X-STREAM-INF:AUDIO="a"\nv.m3u8\n', "bandwidth"),
+        (b"#EXTM3U\n#EXT-X-TARGETDURATION:oops\n#EXTINF:4,\ns.ts\n", ""),
+        (b"#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXTINF:4,\ns\x00.ts\n", "control"),
+    ],
+)
 def test_what_is_no_manifest_is_refused(data: bytes, words: str) -> None:
     with pytest.raises(BadManifest, match=words):
         parse(data)
 
 
-@pytest.mark.parametrize("uri", ["http://10.0.0.8:8080/seg.ts", "//10.0.0.8/seg.ts", "https://10.0.0.9:8080/s",
-                                 "http://[bad/seg.ts", "{$var}/seg.ts", "a b.ts"])
+@pytest.mark.parametrize(
+    "uri",
+    [
+        "http://10.0.0.8:8080/seg.ts",
+        "//10.0.0.8/seg.ts",
+        "https://10.0.0.9:8080/s",
+        "http://[bad/seg.ts",
+        "{$var}/seg.ts",
+        "a b.ts",
+    ],
+)
 def test_a_uri_that_leads_away_from_its_box_is_refused(uri: str) -> None:
     manifest = parse(f"#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXTINF:4,\n{uri}\n".encode())
     with pytest.raises(BadManifest):
--- a/tests/test_media_servers.py
+++ b/tests/test_media_servers.py
@@ -50,8 +50,9 @@
         self.clock, self.reactor = ManualClock(), Reactor()
         self.deadlines = Deadlines(self.clock)
         self.router = Router(settings(), 1, self.clock, self.deadlines)
-        self.servers = MediaServers(self.reactor, self.router, self.clock, self.deadlines,
-                                    250.0, 30_000.0, 384)
+        self.servers = MediaServers(
+            self.reactor, self.router, self.clock, self.deadlines, 250.0, 30_000.0, 384
+        )
         self.router.fleet(api.ListKind.FULL, [api.ServerListing(n, n, kind="box") for n in range(boxes)])
         self.servers.follow({n: ServerAddress(n, f"box-{n}", "127.0.0.1", 1) for n in range(boxes)})
         self.servers.start()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -148,7 +148,8 @@
     world.net.run(30_000.0)
     assert world.agreed(others)
     assert sorted(x.by for x in world.told("dead") if x.what.name == one.name and x.by != one.name) == [
-        x.name for x in others]
+        x.name for x in others
+    ]
     assert not [x for x in world.told("returned") if x.by != one.name]
     if not deaf:
         assert one.voided, "it hears what the others hold of it"
@@ -304,9 +305,12 @@
     body = wire.encode(wire.News(sender="a", run=1, to=2, number=3))
     assert wire.Seal((new, old)).open(wire.Seal((old,)).close(body)) == body
     assert wire.Seal((old, new)).open(wire.Seal((new, old)).close(body)) == body
-    for sealed, kind in ((wire.Seal((old,)).close(body), "key"),
-                         (wire.Seal((new,)).close(body)[:-1] + b"x", "key"),
-                         (b"", "malformed"), (b"CH\2" + bytes(40), "version")):
+    for sealed, kind in (
+        (wire.Seal((old,)).close(body), "key"),
+        (wire.Seal((new,)).close(body)[:-1] + b"x", "key"),
+        (b"", "malformed"),
+        (b"CH\2" + bytes(40), "version"),
+    ):
         with pytest.raises(wire.Bad) as bad:
             wire.Seal((new,)).open(sealed)
         assert bad.value.kind == kind
@@ -319,16 +323,28 @@
 
 
 def test_a_record_over_its_bounds_is_refused_when_it_is_read() -> None:
-    for record in (Record("a", 1, 1, State.ALIVE, 0, "h", 1, facts=bytes(513)),
-                   Record("a", 1, 1, State.ALIVE, 0, "h", 1, hears=("b",) * 65),
-                   Record("", 1, 1, State.ALIVE, 0, "h", 1)):
+    for record in (
+        Record("a", 1, 1, State.ALIVE, 0, "h", 1, facts=bytes(513)),
+        Record("a", 1, 1, State.ALIVE, 0, "h", 1, hears=("b",) * 65),
+        Record("", 1, 1, State.ALIVE, 0, "h", 1),
+    ):
         with pytest.raises(wire.Bad):
             wire.decode(wire.encode(wire.News(news=[record])))
 
 
-RECORDS = st.lists(st.builds(
-    Record, name=st.sampled_from("abc"), incarnation=st.integers(1, 3), run=st.integers(1, 2),
-    state=st.sampled_from(State), number=st.integers(0, 2), host=st.just("h"), port=st.just(1)), max_size=12)
+RECORDS = st.lists(
+    st.builds(
+        Record,
+        name=st.sampled_from("abc"),
+        incarnation=st.integers(1, 3),
+        run=st.integers(1, 2),
+        state=st.sampled_from(State),
+        number=st.integers(0, 2),
+        host=st.just("h"),
+        port=st.just(1),
+    ),
+    max_size=12,
+)
 
 
 @given(RECORDS, st.randoms())
@@ -347,15 +363,23 @@
     assert tables[0].view() == tables[1].view()
 
 
-ACTS = st.lists(st.tuples(
-    st.sampled_from(["kill", "restart", "pause", "wake", "mute", "cut", "heal", "loss", "leave"]),
-    st.integers(0, 63), st.integers(0, 63), st.integers(50, 4000)), min_size=1, max_size=12)
+ACTS = st.lists(
+    st.tuples(
+        st.sampled_from(["kill", "restart", "pause", "wake", "mute", "cut", "heal", "loss", "leave"]),
+        st.integers(0, 63),
+        st.integers(0, 63),
+        st.integers(50, 4000),
+    ),
+    min_size=1,
+    max_size=12,
+)
 
 
 @settings(max_examples=25, deadline=None)
 @given(st.sampled_from([2, 3, 4, 5, 8, 16, 64]), st.integers(0, 1000), ACTS)
-def test_after_any_schedule_and_a_quiet_time_all_agree(count: int, seed: int,
-                                                       acts: list[tuple[str, int, int, int]]) -> None:
+def test_after_any_schedule_and_a_quiet_time_all_agree(
+    count: int, seed: int, acts: list[tuple[str, int, int, int]]
+) -> None:
     """Agreement after quiet, no removal without a cause, incarnations only grow."""
     if count == 64:
         acts = acts[:3]
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -45,11 +45,19 @@
     return lambda wire, message: wire.send(f"RTSP/1.0 {status} No", message.session)
 
 
-@pytest.mark.parametrize("class_name,status,tries,harmless", [
-    ("free", 500, 2, True), ("paid", 453, 2, True), ("paid", 454, 2, True), ("paid", 500, 1, False),
-    ("paid", 504, 1, False)])
+@pytest.mark.parametrize(
+    "class_name,status,tries,harmless",
+    [
+        ("free", 500, 2, True),
+        ("paid", 453, 2, True),
+        ("paid", 454, 2, True),
+        ("paid", 500, 1, False),
+        ("paid", 504, 1, False),
+    ],
+)
 def test_a_paid_set_up_that_may_have_run_fails_and_is_not_sent_again(
-        tmp_path: Path, class_name: str, status: int, tries: int, harmless: bool) -> None:
+    tmp_path: Path, class_name: str, status: int, tries: int, harmless: bool
+) -> None:
     with site(tmp_path) as (program, pumps, _):
         for pump in pumps:
             pump.script = refusal(status)
@@ -229,8 +237,13 @@
     with site(tmp_path, 1) as (program, _, _log):
         pipe, held = tmp_path / "pipe", json.dumps({**program.told, "changelog": "127.0.0.1:1"})
         os.mkfifo(pipe)  # its start stands still until the configuration has been written
-        late = subprocess.Popen([sys.executable, "-m", "cloverhinge", "serve"], cwd=ROOT, text=True,
-                                stderr=subprocess.PIPE, env={**os.environ, "LB_CONFIG": str(pipe)})
+        late = subprocess.Popen(
+            [sys.executable, "-m", "cloverhinge", "serve"],
+            cwd=ROOT,
+            text=True,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "LB_CONFIG": str(pipe)},
+        )
         with pipe.open("w") as end:  # opens once the program reads
             late.send_signal(signal.SIGHUP)
             (tmp_path / "plain").write_text(held)
@@ -260,11 +273,15 @@
         assert program.process.wait(WAIT_S) == 0
 
 
-BAD = [b"\x00\xff\xfe garbage\r\n\r\n", b"SETUP rtsp://media/x HTTP/1.1\r\n\r\n", b"x" * 20000,
-       b"SETUP rtsp://media/x RTSP/1.0\r\nCSeq: 1\r\nContent-Length: 999999\r\n\r\n",
-       b"SETUP rtsp://media/x RTSP/1.0\r\nCSeq: 1\r\nContent-Length: -1\r\n\r\n",
-       b"SETUP rtsp://media/x RTSP/1.0\r\nno colon\r\n\r\n",
-       b"SETUP rtsp://media/x RTSP/1.0\r\n" + b"A: b\r\n" * 100 + b"\r\n"]
+BAD = [
+    b"\x00\xff\xfe garbage\r\n\r\n",
+    b"SETUP rtsp://media/x HTTP/1.1\r\n\r\n",
+    b"x" * 20000,
+    b"SETUP rtsp://media/x RTSP/1.0\r\nCSeq: 1\r\nContent-Length: 999999\r\n\r\n",
+    b"SETUP rtsp://media/x RTSP/1.0\r\nCSeq: 1\r\nContent-Length: -1\r\n\r\n",
+    b"SETUP rtsp://media/x RTSP/1.0\r\nno colon\r\n\r\n",
+    b"SETUP rtsp://media/x RTSP/1.0\r\n" + b"A: b\r\n" * 100 + b"\r\n",
+]
 
 
 @pytest.mark.parametrize("data", BAD)
@@ -279,10 +296,16 @@
         assert answer(other).status == 200
 
 
-@pytest.mark.parametrize("fields", [
-    {"X_Call_Class": "none", "X_Ring_Limit": "1000"}, {"X_Call_Class": "free"},
-    {"X_Call_Class": "free", "X_Ring_Limit": "nan"}, {"X_Call_Class": "free", "X_Ring_Limit": "-5"},
-    {"X_Call_Class": "free", "X_Ring_Limit": "1000", "X_Dest": "home:x"}])
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"X_Call_Class": "none", "X_Ring_Limit": "1000"},
+        {"X_Call_Class": "free"},
+        {"X_Call_Class": "free", "X_Ring_Limit": "nan"},
+        {"X_Call_Class": "free", "X_Ring_Limit": "-5"},
+        {"X_Call_Class": "free", "X_Ring_Limit": "1000", "X_Dest": "home:x"},
+    ],
+)
 def test_a_set_up_that_makes_no_sense_fails_alone(tmp_path: Path, fields: dict[str, str]) -> None:
     with site(tmp_path, 1) as (program, pumps, _):
         viewer = program.connect()
@@ -310,9 +333,14 @@
         told = json.loads((tmp_path / "config.json").read_text())
         told["listen"] = f"127.0.0.1:{program.port}"
         (tmp_path / "taken.json").write_text(json.dumps(told))
-        done = subprocess.run([sys.executable, "-m", "cloverhinge", "serve"], cwd=ROOT, text=True,
-                              capture_output=True, timeout=WAIT_S,
-                              env={**os.environ, "LB_CONFIG": str(tmp_path / "taken.json")})
+        done = subprocess.run(
+            [sys.executable, "-m", "cloverhinge", "serve"],
+            cwd=ROOT,
+            text=True,
+            capture_output=True,
+            timeout=WAIT_S,
+            env={**os.environ, "LB_CONFIG": str(tmp_path / "taken.json")},
+        )
         assert done.returncode == 1 and "could not start" in done.stderr
         assert "Traceback" not in done.stderr
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -41,8 +41,21 @@
         return self.bans.tell(name, out, 1000.0)
 
 
-@pytest.mark.parametrize("line", [b"", b"\xff\xfe", b"status now", b"maint-on", b"maint-on a b", b"STATUS",
-                                  b"stats s-1", b"maint-off s-9", b"maint-on " + b"s" * 200, b"help\x00"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"",
+        b"\xff\xfe",
+        b"status now",
+        b"maint-on",
+        b"maint-on a b",
+        b"STATUS",
+        b"stats s-1",
+        b"maint-off s-9",
+        b"maint-on " + b"s" * 200,
+        b"help\x00",
+    ],
+)
 def test_whatever_is_no_call_gets_one_plain_no(line: bytes) -> None:
     said = calls.answer(line, Asked())
     assert said.startswith("NAK ") and said.count("\n") == 1
@@ -53,7 +66,12 @@
     for _ in range(3):
         assert calls.answer(b" maint-on s-1\r", router) == "ACK\n"
     assert calls.answer(b"stats", router).splitlines() == [
-        "ACK", "active=3", "pool_size=2", "pool_ejected=1", "--"]
+        "ACK",
+        "active=3",
+        "pool_size=2",
+        "pool_ejected=1",
+        "--",
+    ]
     assert calls.answer(b"maint-off s-1", router) == "ACK\n" and not router.bans.out
     router.waits_for = "starting"
     assert calls.answer(b"status", router) == "NAK starting\n"
@@ -76,8 +94,9 @@
 
 
 @given(changes, st.randoms(use_true_random=False))
-def test_two_processes_agree_in_whatever_order_they_hear(told: list[tuple[str, bool, int]],
-                                                         order: random.Random) -> None:
+def test_two_processes_agree_in_whatever_order_they_hear(
+    told: list[tuple[str, bool, int]], order: random.Random
+) -> None:
     one, other = Bans(), Bans()
     for name, out, at in told:
         (one if order.random() < 0.5 else other).tell(name, out, float(at))
@@ -90,10 +109,16 @@
     assert not one.lacking(other.records) and not other.lacking(one.records)
 
 
-@pytest.mark.parametrize("data,says", [
-    (b"", "is no file of bans"), (b'{"form":"bans 2","records":{}}', "is no file of bans"),
-    (b'{"form":"bans 1","records":{"":[1,true]}}', "makes no sense"),
-    (b'{"form":"bans 1","records":{"a":[-1,true]}}', "makes no sense"), (b"x" * 600_000, "at most")])
+@pytest.mark.parametrize(
+    "data,says",
+    [
+        (b"", "is no file of bans"),
+        (b'{"form":"bans 2","records":{}}', "is no file of bans"),
+        (b'{"form":"bans 1","records":{"":[1,true]}}', "makes no sense"),
+        (b'{"form":"bans 1","records":{"a":[-1,true]}}', "makes no sense"),
+        (b"x" * 600_000, "at most"),
+    ],
+)
 def test_a_bad_file_is_one_plain_sentence(data: bytes, says: str) -> None:
     with pytest.raises(ValueError, match=says):
         bans.decode(data)
@@ -138,8 +163,13 @@
         attempt = out[which % len(out)] if out else None
         if what == "ask":
             kind, person = ("film", "paid")[which % 2], Person()
-            people.append((kind, person, router.take(
-                Ask(f"{number:016x}", kind, f"t{which}", 0, 6, 2, 3000.0), person, stand)))
+            people.append(
+                (
+                    kind,
+                    person,
+                    router.take(Ask(f"{number:016x}", kind, f"t{which}", 0, 6, 2, 3000.0), person, stand),
+                )
+            )
         elif what == "wait":
             stand.pass_ms(200.0 * (1 + which))
         elif what == "leave" and people:
@@ -159,12 +189,17 @@
                 router.answered(attempt, b"made")
                 router.answered(attempt, b"twice")
             else:
-                router.attempt_ended(attempt, {"full": Outcome.FULL, "error": Outcome.ERROR,
-                                               "reset": Outcome.RESET}[what])
+                router.attempt_ended(
+                    attempt, {"full": Outcome.FULL, "error": Outcome.ERROR, "reset": Outcome.RESET}[what]
+                )
     for kind in written:
         tally, heard = router.counters.tallies[kind], [x for k, p, _ in people if k == kind for x in p.told]
         assert (tally.ok, tally.shed, tally.errors, tally.tries) == (
-            heard.count("ok"), heard.count("shed"), heard.count("errors"), written[kind])
+            heard.count("ok"),
+            heard.count("shed"),
+            heard.count("errors"),
+            written[kind],
+        )
     assert all(len(person.told) <= 1 for _, person, _ in people)
 
 
@@ -205,10 +240,18 @@
     assert router.counters.tallies["film"].tries == 0
 
 
-@pytest.mark.parametrize("own,others,count", [
-    (Phase.SERVING, [], 1), (Phase.SERVING, [Phase.STARTING], 1), (Phase.SERVING, [Phase.SERVING], 2),
-    (Phase.SERVING, [Phase.ENDING], 1), (Phase.STARTING, [Phase.SERVING], 1), (Phase.ENDING, [], 1),
-    (Phase.SERVING, [Phase.SERVING] * 4, 2)])
+@pytest.mark.parametrize(
+    "own,others,count",
+    [
+        (Phase.SERVING, [], 1),
+        (Phase.SERVING, [Phase.STARTING], 1),
+        (Phase.SERVING, [Phase.SERVING], 2),
+        (Phase.SERVING, [Phase.ENDING], 1),
+        (Phase.STARTING, [Phase.SERVING], 1),
+        (Phase.ENDING, [], 1),
+        (Phase.SERVING, [Phase.SERVING] * 4, 2),
+    ],
+)
 def test_how_many_share_the_routers_place(own: Phase, others: list[Phase], count: int) -> None:
     assert overlap.parts(own, others) == count
 
--- a/tests/test_operation_network.py
+++ b/tests/test_operation_network.py
@@ -108,8 +108,10 @@
 
 @contextmanager
 def inherited(folder: Path, count: int = 2) -> Iterator[tuple[Program, list[Pump], ChangeLog]]:
-    with (socket.create_server(("127.0.0.1", 0)) as listener,
-          site(folder, count, operated=True, listener=listener) as made):
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        site(folder, count, operated=True, listener=listener) as made,
+    ):
         yield made
 
 
@@ -201,6 +203,7 @@
 
 def test_a_router_that_is_full_is_replaced_and_each_request_has_its_answer(tmp_path: Path) -> None:
     """Load that all boxes refuse, on connections old and new, before and after the old one is told to end."""
+
     def full(wire: Wire, message: Message) -> None:
         wire.send("RTSP/1.0 453 Not Enough Bandwidth", message.session, X_Circuits="x0:1.6;x1:1.2")
 
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -56,8 +56,19 @@
             drive.next += 1
             asked[drive.next] = class_name, title
             owed.add(drive.next)
-            check(drive.tell(api.SessionRequested(drive.next, class_name, title, rng.randint(0, 5),
-                                                  rng.randint(1, 6), 2, drive.now + 4_000_000)))
+            check(
+                drive.tell(
+                    api.SessionRequested(
+                        drive.next,
+                        class_name,
+                        title,
+                        rng.randint(0, 5),
+                        rng.randint(1, 6),
+                        2,
+                        drive.now + 4_000_000,
+                    )
+                )
+            )
         elif what < 0.6 and out:
             session = rng.choice(sorted(out))
             server, attempt = out.pop(session)
@@ -79,8 +90,14 @@
             listing = rng.choice(drive.listings)
             health = rng.choice((Health.READY, Health.READY, Health.DRAINING, Health.GONE))
             (barred.discard if health is Health.READY else barred.add)(listing.server)
-            changed = api.ServerListing(listing.server, listing.cell, listing.zone, listing.kind, health,
-                                        started_us=rng.choice((0, drive.now)))
+            changed = api.ServerListing(
+                listing.server,
+                listing.cell,
+                listing.zone,
+                listing.kind,
+                health,
+                started_us=rng.choice((0, drive.now)),
+            )
             check(drive.tell(api.FleetUpdate(api.ListKind.DELTA, (changed,))))
         elif what < 0.92 and playing:
             session = rng.choice(sorted(playing))
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -13,6 +13,7 @@
 def test_the_example_prints_a_rung_and_a_set_up() -> None:
     found = re.search(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
     assert found
-    done = subprocess.run([sys.executable, "-c", found[1]], cwd=ROOT, capture_output=True, text=True,
-                          check=True)
+    done = subprocess.run(
+        [sys.executable, "-c", found[1]], cwd=ROOT, capture_output=True, text=True, check=True
+    )
     assert [line.split("(")[0] for line in done.stdout.splitlines()] == ["SetRung", "SetUp"]
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -107,8 +107,10 @@
 
 
 def raw(wire: Wire, name: str, length: int | str, body: bytes) -> None:
-    wire.sock.sendall(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %b\r\nContent-Length: %b\r\n\r\n%b"
-                      % (name.encode(), str(length).encode(), body))
+    wire.sock.sendall(
+        b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %b\r\nContent-Length: %b\r\n\r\n%b"
+        % (name.encode(), str(length).encode(), body)
+    )
 
 
 SPOILT: list[Any] = [
@@ -117,7 +119,8 @@
     lambda wire, name: raw(wire, name, 400, b"made by a pump"),  # too long: it never ends
     lambda wire, name: raw(wire, name, 3_000_000_000, b"made"),
     lambda wire, name: wire.sock.sendall(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSess"),
-    lambda wire, name: wire.sock.shutdown(socket.SHUT_RDWR)]
+    lambda wire, name: wire.sock.shutdown(socket.SHUT_RDWR),
+]
 
 
 @pytest.mark.parametrize("spoil", SPOILT)
@@ -155,12 +158,14 @@
 
 def test_a_request_that_no_pump_can_use_keeps_no_other_from_them(tmp_path: Path) -> None:
     """Guards against pumps distrusted for what a bad client asks: the usual ones would be refused."""
+
     def script(pump: Pump) -> Any:
         def run(wire: Wire, message: Message) -> None:
             if "unknown" in message.start:
                 wire.send("RTSP/1.0 500 No", message.session)
             else:
                 pump.accept(wire, message)
+
         return run
 
     with site(tmp_path, 3) as (program, pumps, _):
--- a/tests/test_rtsp.py
+++ b/tests/test_rtsp.py
@@ -11,9 +11,11 @@
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.set_up import read_set_up
 
-SETUP = (b"SETUP rtsp://media/7f3a RTSP/1.0\r\nCSeq: 1\r\nSession: 9b1f03aa5c7e2d41\r\nX-Call-Class: paid\r\n"
-         b"X-Ring-Limit: 1500\r\nX-Dest: home:4;copies:3;top:2;viewer:aa;again:1\r\nContent-Length: 9\r\n\r\n"
-         b"a\r\nb\r\n\r\nc")
+SETUP = (
+    b"SETUP rtsp://media/7f3a RTSP/1.0\r\nCSeq: 1\r\nSession: 9b1f03aa5c7e2d41\r\nX-Call-Class: paid\r\n"
+    b"X-Ring-Limit: 1500\r\nX-Dest: home:4;copies:3;top:2;viewer:aa;again:1\r\nContent-Length: 9\r\n\r\n"
+    b"a\r\nb\r\n\r\nc"
+)
 ANSWER = b"RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: 9b1f03aa5c7e2d41\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -56,7 +58,9 @@
     for start, end in zip(edges, edges[1:], strict=False):
         reader.dataReceived(data[start:end])
     assert [(m.method, m.status, m.body) for m in reader.seen] == [
-        ("SETUP", 0, b"a\r\nb\r\n\r\nc"), ("", 200, b"")] * 2
+        ("SETUP", 0, b"a\r\nb\r\n\r\nc"),
+        ("", 200, b""),
+    ] * 2
     assert not reader.midway and len(reader.buffer) == 0, "the buffer is compacted"
 
 
@@ -72,7 +76,14 @@
     reader.dataReceived(SETUP)
     ask, at = read_set_up(reader.seen[0])
     assert (ask.name, ask.class_name, ask.title, ask.first_cell, ask.copies, ask.ceiling, ask.wait_ms) == (
-        "9b1f03aa5c7e2d41", "paid", "7f3a", 4, 3, 2, 1500.0)
+        "9b1f03aa5c7e2d41",
+        "paid",
+        "7f3a",
+        4,
+        3,
+        2,
+        1500.0,
+    )
     assert (ask.viewer, ask.returning, at, ask.body) == ("aa", True, "", b"a\r\nb\r\n\r\nc")
 
 
@@ -83,4 +94,7 @@
     reader.dataReceived(messages.response(503, "1", name, {"X-Hold-Off": "800"}, b"body"))
     assert reader.seen[0].headers["reason"] == "cause=16"
     assert (reader.seen[1].status, reader.seen[1].headers["x-hold-off"], reader.seen[1].body) == (
-        503, "800", b"body")
+        503,
+        "800",
+        b"body",
+    )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,8 +12,7 @@
 def test_a_request_that_no_server_can_take_is_refused_at_once() -> None:
     drive = Drive(servers=0)
     session, actions = drive.ask()
-    assert [(a.session, a.retry_after_us == 800_000) for a in of(api.Refuse, actions)] == [
-        (session, True)]
+    assert [(a.session, a.retry_after_us == 800_000) for a in of(api.Refuse, actions)] == [(session, True)]
 
 
 def test_a_time_out_at_the_deadline_gets_its_final_answer_at_once() -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -81,7 +81,8 @@
         client.sock.sendall(
             b"9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: 0000000000000002\r\nX-Call-Class: free\r\n"
             b"X-Ring-Limit: 3000\r\nX-Dest: home:0;copies:3;top:1;viewer:00000000b4d65521\r\n"
-            b"Content-Length: 0\r\n\r\n")
+            b"Content-Length: 0\r\n\r\n"
+        )
         stand_still(program, client)
         assert answer(client).status == 200
         assert program.process.wait(WAIT_S) == 0
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -19,37 +19,48 @@
 DOOR = f'[door]\nkey = "{KEY}"\n'
 
 
-@pytest.mark.parametrize("text,says", [
-    ("[hsl]\n", "nothing is called hsl"),
-    (MEMBERS + "join = ['nowhere']\n", "members.join[0]: 'nowhere' is no host:port"),
-    (MEMBERS + "probe_ms = 800\n", "members.quiet_ms has to be twice members.probe_ms"),
-    (MEMBERS + "old_key = 'short'\n", "members.old_key has to hold 32 characters"),
-    (MEMBERS + "watch = 2\n", "members.watch: expected int >= 3"),
-    (MEMBERS + "site = 'a b'\n", "members.site: a site is made of letters"),
-    (MEMBERS + "loud = 1\n", "nothing is called members.loud"),
-    (HLS + "idle = 3\n", "nothing is called hls.idle"),
-    (HLS + "idle_s = 0\n", "hls.idle_s: expected float > 0.0"),
-    (HLS + "idle_s = true\n", "hls.idle_s: expected float, got bool"),
-    ("[hls]\nlisten = '127.0.0.1:0'\n", "hls.key is missing"),
-    ("[hls]\nlisten = 'here'\nkey = '" + KEY + "'\n", "hls.listen: 'here' is no host:port"),
-    (HLS + "[hls.titles.intro]\ncopies = 'two'\n", "hls.titles.intro.copies: expected int, got str"),
-    (HLS + "[hls.titles.intro]\ncopies = 2\ntops = 1\n", "nothing is called hls.titles.intro.tops"),
-    (HLS + "[hls.titles.'a b']\ncopies = 2\n", "hls.titles.a b: a title is made of letters"),
-    (HLS + "[hls.boxes]\nb = ':1'\n", "hls.boxes.b: ':1' is no host:port"),
-    ("hls = 3\n", "hls: expected a table, got int"),
-    ("[admin]\nlisten = '10.0.0.1:1'\n", "admin.listen has to be a loopback address"),
-    ("[acme]\n", "acme: certificates are for the HLS front"),
-    ("[clients.maple]\n", "clients: clients queue at the door"),
-    ("[door]\nkey = 'short'\n", "door.key has to hold 32 characters"),
-    (DOOR + "waiting = 0\n", "door.waiting: expected int >= 1"),
-    (DOOR + "[clients.maple]\nweight = 0\n", "clients.maple.weight: expected float > 0.0"),
-    (DOOR + "[clients.maple]\nnetworks = ['10.0.0.1/8']\n", "clients.maple.networks: 10.0.0.1/8 has host"),
-    (DOOR + "[clients.maple]\nkey = 'k'\n", "clients.maple.key has to hold 16 characters"),
-    (DOOR + "[clients.others]\nnetworks = ['10.0.0.0/8']\n", "clients.others are those whom nobody vouches"),
-    (DOOR + "[clients.a]\nnetworks = ['10.0.0.0/8']\n[clients.b]\nnetworks = ['10.0.0.0/8']\n",
-     "clients.b.networks: 10.0.0.0/8 is a's already"),
-    ("[hls\n", "is not TOML"),
-])
+@pytest.mark.parametrize(
+    "text,says",
+    [
+        ("[hsl]\n", "nothing is called hsl"),
+        (MEMBERS + "join = ['nowhere']\n", "members.join[0]: 'nowhere' is no host:port"),
+        (MEMBERS + "probe_ms = 800\n", "members.quiet_ms has to be twice members.probe_ms"),
+        (MEMBERS + "old_key = 'short'\n", "members.old_key has to hold 32 characters"),
+        (MEMBERS + "watch = 2\n", "members.watch: expected int >= 3"),
+        (MEMBERS + "site = 'a b'\n", "members.site: a site is made of letters"),
+        (MEMBERS + "loud = 1\n", "nothing is called members.loud"),
+        (HLS + "idle = 3\n", "nothing is called hls.idle"),
+        (HLS + "idle_s = 0\n", "hls.idle_s: expected float > 0.0"),
+        (HLS + "idle_s = true\n", "hls.idle_s: expected float, got bool"),
+        ("[hls]\nlisten = '127.0.0.1:0'\n", "hls.key is missing"),
+        ("[hls]\nlisten = 'here'\nkey = '" + KEY + "'\n", "hls.listen: 'here' is no host:port"),
+        (HLS + "[hls.titles.intro]\ncopies = 'two'\n", "hls.titles.intro.copies: expected int, got str"),
+        (HLS + "[hls.titles.intro]\ncopies = 2\ntops = 1\n", "nothing is called hls.titles.intro.tops"),
+        (HLS + "[hls.titles.'a b']\ncopies = 2\n", "hls.titles.a b: a title is made of letters"),
+        (HLS + "[hls.boxes]\nb = ':1'\n", "hls.boxes.b: ':1' is no host:port"),
+        ("hls = 3\n", "hls: expected a table, got int"),
+        ("[admin]\nlisten = '10.0.0.1:1'\n", "admin.listen has to be a loopback address"),
+        ("[acme]\n", "acme: certificates are for the HLS front"),
+        ("[clients.maple]\n", "clients: clients queue at the door"),
+        ("[door]\nkey = 'short'\n", "door.key has to hold 32 characters"),
+        (DOOR + "waiting = 0\n", "door.waiting: expected int >= 1"),
+        (DOOR + "[clients.maple]\nweight = 0\n", "clients.maple.weight: expected float > 0.0"),
+        (
+            DOOR + "[clients.maple]\nnetworks = ['10.0.0.1/8']\n",
+            "clients.maple.networks: 10.0.0.1/8 has host",
+        ),
+        (DOOR + "[clients.maple]\nkey = 'k'\n", "clients.maple.key has to hold 16 characters"),
+        (
+            DOOR + "[clients.others]\nnetworks = ['10.0.0.0/8']\n",
+            "clients.others are those whom nobody vouches",
+        ),
+        (
+            DOOR + "[clients.a]\nnetworks = ['10.0.0.0/8']\n[clients.b]\nnetworks = ['10.0.0.0/8']\n",
+            "clients.b.networks: 10.0.0.0/8 is a's already",
+        ),
+        ("[hls\n", "is not TOML"),
+    ],
+)
 def test_what_is_wrong_is_named_by_its_full_path(text: str, says: str, tmp_path: Path) -> None:
     path = tmp_path / "site.toml"
     path.write_text(text)
@@ -60,12 +71,16 @@
 
 def test_a_door_with_clients_is_read(tmp_path: Path) -> None:
     path = tmp_path / "site.toml"
-    path.write_text(DOOR + "waiting = 9\n[clients.maple]\nweight = 2\nnetworks = ['10.1.0.0/16', 'fd00::/8']"
-                           "\n[clients.others]\nweight = 0.5\n")
+    path.write_text(
+        DOOR + "waiting = 9\n[clients.maple]\nweight = 2\nnetworks = ['10.1.0.0/16', 'fd00::/8']"
+        "\n[clients.others]\nweight = 0.5\n"
+    )
     door = site.read(path).door
     assert door is not None and door.waiting == 9
     assert [(one.name, one.weight, len(one.networks)) for one in door.clients] == [
-        ("maple", 2.0, 2), ("others", 0.5, 0)]
+        ("maple", 2.0, 2),
+        ("others", 0.5, 0),
+    ]
 
 
 def test_a_door_needs_nothing_but_its_table(tmp_path: Path) -> None:
@@ -84,13 +99,16 @@
 
 def test_the_platform_s_run_loads_none_of_it() -> None:
     """Guards the platform's memory: what is switched off there is not imported."""
-    code = ("import sys; import cloverhinge.cli, cloverhinge.node\n"
-            "print([x for x in sys.modules if x.split('.')[0] in ('msgspec', 'm3u8', 'acme', 'josepy',"
-            " 'apsw') or x.startswith(('cloverhinge.door', 'cloverhinge.site.schema', 'cloverhinge.hls',"
-            " 'cloverhinge.members', 'cloverhinge.custody', 'cloverhinge.store', 'cloverhinge.lab',"
-            " 'cloverhinge.emulator'))])")
-    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True,
-                          timeout=WAIT_S)
+    code = (
+        "import sys; import cloverhinge.cli, cloverhinge.node\n"
+        "print([x for x in sys.modules if x.split('.')[0] in ('msgspec', 'm3u8', 'acme', 'josepy',"
+        " 'apsw') or x.startswith(('cloverhinge.door', 'cloverhinge.site.schema', 'cloverhinge.hls',"
+        " 'cloverhinge.members', 'cloverhinge.custody', 'cloverhinge.store', 'cloverhinge.lab',"
+        " 'cloverhinge.emulator'))])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S
+    )
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
 
 
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -27,18 +27,42 @@
     rules, limits, classes, of_family = site["rules"], site["allow"], site["class"], site["fam"]["class"]
     return {
         **SETTINGS,
-        "classes": [{"name": one["name"], "effect": EFFECTS[one["effect"]], "aimUs": 1000 * one["aim_ms"],
-                     "hardLimitUs": 1000 * one["deadline_ms"], "worth": one["worth"]} for one in classes],
-        "failureDomains": site["net"]["zones"], "zone": site["net"]["zones"][0],
+        "classes": [
+            {
+                "name": one["name"],
+                "effect": EFFECTS[one["effect"]],
+                "aimUs": 1000 * one["aim_ms"],
+                "hardLimitUs": 1000 * one["deadline_ms"],
+                "worth": one["worth"],
+            }
+            for one in classes
+        ],
+        "failureDomains": site["net"]["zones"],
+        "zone": site["net"]["zones"][0],
         "machineTypes": [kind["name"] for tier in site["tier"] for kind in tier["kind"]],
-        "limits": {**SETTINGS["limits"], "maxAttempts": limits["max_attempts"], "mayProbe": limits["probes"],
-                   "maxRetryAfterUs": 1000 * site["clients"]["max_retry_after_ms"]},
-        "rules": {"drainGraceUs": 1000 * rules["drain_grace_ms"], "fallMultiple": rules["fall_multiple"],
-                  "tipAfterUs": 1000 * rules["fall_ms"], "coldUs": 10_000_000, "coldFrom": 0.4},
-        "specifics": {**SETTINGS["specifics"], "seats": [4 if "seats" in one else 0 for one in of_family],
-                      "classLive": [one.get("live", False) for one in of_family],
-                      "scaleByClass": [one["scale"] for one in of_family], "classFloor": [0] * len(classes),
-                      "highestRung": [1] * len(classes), "placesByKind": [50] * 2}}
+        "limits": {
+            **SETTINGS["limits"],
+            "maxAttempts": limits["max_attempts"],
+            "mayProbe": limits["probes"],
+            "maxRetryAfterUs": 1000 * site["clients"]["max_retry_after_ms"],
+        },
+        "rules": {
+            "drainGraceUs": 1000 * rules["drain_grace_ms"],
+            "fallMultiple": rules["fall_multiple"],
+            "tipAfterUs": 1000 * rules["fall_ms"],
+            "coldUs": 10_000_000,
+            "coldFrom": 0.4,
+        },
+        "specifics": {
+            **SETTINGS["specifics"],
+            "seats": [4 if "seats" in one else 0 for one in of_family],
+            "classLive": [one.get("live", False) for one in of_family],
+            "scaleByClass": [one["scale"] for one in of_family],
+            "classFloor": [0] * len(classes),
+            "highestRung": [1] * len(classes),
+            "placesByKind": [50] * 2,
+        },
+    }
 
 
 @pytest.mark.parametrize("site", SITES, ids=lambda site: site.stem)
@@ -49,8 +73,13 @@
     config = tmp_path / "config.json"
     config.write_text(json.dumps(Program.configuration("n0", log, known, **told)))
     log.stop()
-    done = subprocess.run([sys.executable, "-m", "cloverhinge", "check", str(config)], cwd=ROOT,
-                          capture_output=True, text=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "cloverhinge", "check", str(config)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     assert done.returncode == 0, done.stdout + done.stderr
 
 
@@ -66,9 +95,13 @@
     """Classes, names, tenants, limits and costs come from the settings alone."""
     names = set(CUSTOMERS)
     for site in map(read, SITES):
-        names |= {site["name"], *site["net"]["zones"], *(one["name"] for one in site["class"]),
-                  *(tier["name"] for tier in site["tier"]),
-                  *(kind["name"] for tier in site["tier"] for kind in tier["kind"])}
+        names |= {
+            site["name"],
+            *site["net"]["zones"],
+            *(one["name"] for one in site["class"]),
+            *(tier["name"] for tier in site["tier"]),
+            *(kind["name"] for tier in site["tier"] for kind in tier["kind"]),
+        }
     sources = [*(ROOT / "cloverhinge").rglob("*.py"), ROOT / "deploy/balancer.toml"]
     texts = {source: source.read_text().lower() for source in sources}
     assert not [(source.name, name) for source, text in texts.items() for name in names if name in text]
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -26,8 +26,11 @@
     """The plain way: look at every session for every step."""
     while (excess := max(over.values())) > 0:
         tight = next(limit for limit in over if over[limit] == excess)
-        steps = [drive.controller.step_under(n, x, planned) for n, x in tight.sessions.items()
-                 if x.playing and planned.get(n, x.rung) > x.kind.floor]
+        steps = [
+            drive.controller.step_under(n, x, planned)
+            for n, x in tight.sessions.items()
+            if x.playing and planned.get(n, x.rung) > x.kind.floor
+        ]
         if not steps or min(steps)[0] > most:
             return False
         _, number, rung, kb = min(steps)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -101,7 +101,7 @@
     for at in range(part, len(told), 8):
         for name in (f"{FILE}-wal", f"{FILE}-shm"):
             (copy / name).unlink(missing_ok=True)
-        (copy / FILE).write_bytes(told[:at] + bytes([told[at] ^ 1 << at // 8 % 8]) + told[at + 1:])
+        (copy / FILE).write_bytes(told[:at] + bytes([told[at] ^ 1 << at // 8 % 8]) + told[at + 1 :])
         folder = Folder(copy, "r0", unsynced)
         try:
             found = folder.open()
@@ -283,7 +283,8 @@
 
 @given(st.integers(1, 9), st.lists(st.tuples(st.integers(0, 9), st.booleans(), st.booleans())))
 def test_a_store_is_whole_only_by_most_of_its_roster_and_behind_by_any(
-        count: int, words: list[tuple[int, bool, bool]]) -> None:
+    count: int, words: list[tuple[int, bool, bool]]
+) -> None:
     claim, names = Mark(2, 7), [f"r{x}" for x in range(count)]
     judge = Judge("r0", claim, names)
     counted: dict[int, bool] = {}
--- a/tests/test_token.py
+++ b/tests/test_token.py
@@ -73,8 +73,7 @@
     drive = Drive()
     fill(drive, 1.0)
     session, actions = drive.ask()
-    assert [(a.session, a.retry_after_us == 800_000) for a in of(api.Refuse, actions)] == [
-        (session, True)]
+    assert [(a.session, a.retry_after_us == 800_000) for a in of(api.Refuse, actions)] == [(session, True)]
 
 
 def test_a_lower_rung_serves_when_the_highest_fits_nowhere() -> None:
@@ -152,8 +151,10 @@
     assert of(api.Refuse, drive.ask(ceiling=0, copies=1)[1])
 
 
-@pytest.mark.parametrize("field,value", [
-    ("ladder_kb", ()), ("cold_us", -1), ("fleet_size", 0), ("join", 1.5), ("rung_worth", (0.5,))])
+@pytest.mark.parametrize(
+    "field,value",
+    [("ladder_kb", ()), ("cold_us", -1), ("fleet_size", 0), ("join", 1.5), ("rung_worth", (0.5,))],
+)
 def test_settings_that_make_no_sense_are_refused_by_name(field: str, value: object) -> None:
     with pytest.raises(ValueError, match=field):
         settings(**{field: value})
@@ -172,8 +173,11 @@
 
 
 def test_a_site_without_reports_still_decides() -> None:
-    drive = Drive(api.Settings(classes=(FILM,), ladder_kb=(100.0,), rung_worth=(1.0,), places_by_kind={},
-                               weight_kb=1000.0))
+    drive = Drive(
+        api.Settings(
+            classes=(FILM,), ladder_kb=(100.0,), rung_worth=(1.0,), places_by_kind={}, weight_kb=1000.0
+        )
+    )
     assert len([drive.ask(copies=1) for _ in range(20)]) and of(api.Refuse, drive.log) == []
     assert len(of(api.SetUp, drive.log)) == 20
 
@@ -186,9 +190,17 @@
 
 def test_the_same_events_and_seed_give_the_same_actions_under_other_hash_seeds() -> None:
     root = Path(__file__).parent.parent
-    outputs = [subprocess.run([sys.executable, "-c", SCRIPT], cwd=root, capture_output=True, text=True,
-                              check=True, env={**os.environ, "PYTHONHASHSEED": seed}).stdout
-               for seed in ("1", "77")]
+    outputs = [
+        subprocess.run(
+            [sys.executable, "-c", SCRIPT],
+            cwd=root,
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+        ).stdout
+        for seed in ("1", "77")
+    ]
     assert outputs[0] == outputs[1] and "SetUp" in outputs[0]
 
 
@@ -334,6 +346,7 @@
 def test_instances_of_a_large_fleet_start_a_title_at_holders_of_their_own() -> None:
     """Guards against the set-ups of 40 routers at one server before any of them hears of it; a server's part
     of them goes by its link."""
+
     def first(instance: int, title: str) -> int:
         drive = Drive(settings(fleet_size=40, self_index=instance), servers=0)
         rows = tuple(api.ServerListing(10 + n, n, kind="box", weight=1.0 + 2.0 * (n == 0)) for n in range(3))
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -12,21 +12,42 @@
 
 ROOT = Path(__file__).parent.parent
 BOOT: dict[str, Any] = {
-    "classes": [{"name": "film", "effect": "repeatable", "aimUs": 1000000, "hardLimitUs": 4000000,
-                 "worth": 1.0}],
-    "fleetSize": 1, "limits": {"maxAttempts": 3, "maxRetryAfterUs": 500000}, "machineTypes": ["box"],
-    "specifics": {"cells": 3, "cabinets": 1, "ratesKb": [100.0, 200.0], "rungWorth": [0.5, 1.0],
-                  "weightKb": 1000.0, "placesByKind": [10], "unheardOf": 7}, "zone": "a", "unknownKey": {}}
+    "classes": [
+        {"name": "film", "effect": "repeatable", "aimUs": 1000000, "hardLimitUs": 4000000, "worth": 1.0}
+    ],
+    "fleetSize": 1,
+    "limits": {"maxAttempts": 3, "maxRetryAfterUs": 500000},
+    "machineTypes": ["box"],
+    "specifics": {
+        "cells": 3,
+        "cabinets": 1,
+        "ratesKb": [100.0, 200.0],
+        "rungWorth": [0.5, 1.0],
+        "weightKb": 1000.0,
+        "placesByKind": [10],
+        "unheardOf": 7,
+    },
+    "zone": "a",
+    "unknownKey": {},
+}
 LIST = ["roster", 0, [[1, "a", "box", 0, 1, 1, None], [2, "a", "box", 1, 1, 1]]]
 BORN: list[Any] = [["born", "manager-0", 7, BOOT], LIST, ["fleet", "manager-0", 1, 5, 0]]
 KNOCK = ["knock", "manager-0", 42, "film", None, "aa", "bb", 9000000, None, 0, 3, 1, 0]
 
 
 def run(*batches: Any) -> subprocess.CompletedProcess[str]:
-    lines = [b if isinstance(b, str) else json.dumps({"tsUs": 1000000 + n, "msgs": b})
-             for n, b in enumerate(batches)]
-    return subprocess.run([sys.executable, "-m", "cloverhinge.wirehost"], cwd=ROOT, capture_output=True,
-                          text=True, input="\n".join(lines) + "\n", timeout=30)
+    lines = [
+        b if isinstance(b, str) else json.dumps({"tsUs": 1000000 + n, "msgs": b})
+        for n, b in enumerate(batches)
+    ]
+    return subprocess.run(
+        [sys.executable, "-m", "cloverhinge.wirehost"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        input="\n".join(lines) + "\n",
+        timeout=30,
+    )
 
 
 def decisions(done: subprocess.CompletedProcess[str]) -> list[list[Any]]:
@@ -47,12 +68,19 @@
 
 def test_a_failed_attempt_goes_on_elsewhere_and_notes_are_read() -> None:
     first = decisions(run(BORN, [KNOCK]))[1][1][4]
-    done = run(BORN, [KNOCK], [["settled", "manager-0", 42, 0, first, 4, 10, False, None]],
-               [["first", "manager-0", 42, 3 - first, 10, 1],
-                ["interim", "manager-0", 42, 1, 3 - first, 3, 0.4],
-                ["interim", "manager-0", 42, 1, 3 - first, 9, 0.4],
-                ["settled", "manager-0", 42, 1, 3 - first, 1, 10, True, {"x0": 0.2, "other": 1}],
-                ["gone", "manager-0", 42], ["timer", "manager-0", 99]])
+    done = run(
+        BORN,
+        [KNOCK],
+        [["settled", "manager-0", 42, 0, first, 4, 10, False, None]],
+        [
+            ["first", "manager-0", 42, 3 - first, 10, 1],
+            ["interim", "manager-0", 42, 1, 3 - first, 3, 0.4],
+            ["interim", "manager-0", 42, 1, 3 - first, 9, 0.4],
+            ["settled", "manager-0", 42, 1, 3 - first, 1, 10, True, {"x0": 0.2, "other": 1}],
+            ["gone", "manager-0", 42],
+            ["timer", "manager-0", 99],
+        ],
+    )
     assert done.returncode == 0
     assert [r for r in decisions(done)[2] if r[0] == "assign"][0][4] == 3 - first
 
@@ -74,9 +102,16 @@
     assert run(BORN, [carried]).returncode == 0
 
 
-@pytest.mark.parametrize("batch,words", [
-    ("{oops", "not JSON"), ("[]", "tsUs"), ('{"tsUs":1,"msgs":[["mystery",1]]}', "mystery"),
-    ('{"tsUs":1,"msgs":[["knock","manager-0",1]]}', "too short"), ('{"tsUs":1,"msgs":[7]}', "array")])
+@pytest.mark.parametrize(
+    "batch,words",
+    [
+        ("{oops", "not JSON"),
+        ("[]", "tsUs"),
+        ('{"tsUs":1,"msgs":[["mystery",1]]}', "mystery"),
+        ('{"tsUs":1,"msgs":[["knock","manager-0",1]]}', "too short"),
+        ('{"tsUs":1,"msgs":[7]}', "array"),
+    ],
+)
 def test_bad_input_ends_the_adapter_with_one_line(batch: str, words: str) -> None:
     done = run([], batch)
     assert done.returncode != 0 and decisions(done) == [[]]
