--- a/tests/test_door_network.py
+++ b/tests/test_door_network.py
@@ -138,3 +138,24 @@
         early = player.get(f"/play/free/intro?play=player-100&ticket={headers['x-ticket']}")
         assert early[0] == 503 and int(early[1]["retry-after"]) <= int(headers["retry-after"])
         assert len(box.puts) == 2, "what waits or is refused costs no set-up"
+
+
+def test_who_left_while_queued_is_not_sent_on_when_a_place_is_free(tmp_path: Path) -> None:
+    """The end of a session that makes room lies before the client's in the program's sockets."""
+    server = Pump("s-00000000", 0)
+    with door(tmp_path, [server]) as program:
+        standing, leaver, later = (program.connect() for _ in range(3))
+        for number in (1, 2):
+            setup(standing, number)
+            assert answer(standing).status == 200
+        left = setup(leaver, 3, wait_ms=5000)
+        leaver.send("OPTIONS rtsp://media/ping RTSP/1.0", "00000000000000aa", 3)
+        assert answer(leaver).headers["cseq"] == "3"  # its set-up waits at the door
+        program.pause()
+        server.wires[-1].send("TEARDOWN rtsp://media/x RTSP/1.0", f"{1:016x}", 2, Reason="cause=16")
+        leaver.close()
+        program.go_on()
+        assert answer(standing, "TEARDOWN").session == f"{1:016x}"
+        setup(later, 4, wait_ms=5000)
+        assert answer(later).status == 200
+        assert left not in server.setups
