--- a/cloverhinge/discovery/watch.py
+++ b/cloverhinge/discovery/watch.py
@@ -13,7 +13,7 @@
 
 from cloverhinge.core.deadlines import Deadlines, Key
 from cloverhinge.discovery.updates import ListUpdate, parse_update
-from cloverhinge.net.buffered import BufferedReceiver
+from cloverhinge.net.buffered import UNREAD_MS, BufferedReceiver
 
 # What a silent log would have told counts as told after 4 s.  A heartbeat comes each second, so silence is
 # known 1.6 s after it began; a new connection that is silent too is given up 1.2 s later, and the one after
@@ -21,7 +21,6 @@
 SILENT_MS = 1600.0
 FIRST_LINE_MS = 1200.0
 CONNECT_MS = 700.0
-UNREAD_MS = 50.0  # for the reactor to read what lies in the socket
 BACKOFF_MS = (50.0, 1000.0)
 LINE_MAX = 1 << 20
 
--- a/cloverhinge/lab/stand.py
+++ b/cloverhinge/lab/stand.py
@@ -10,6 +10,7 @@
 import os
 import queue
 import re
+import select
 import signal
 import socket
 import subprocess
@@ -336,6 +337,11 @@
     def go_on(self) -> None:
         self.process.send_signal(signal.SIGCONT)
 
+    def go_on_after(self, seconds: float, client: Wire) -> None:
+        """Lets limits on time pass while it stands still; nothing comes to the client meanwhile."""
+        select.select([client.sock], [], [], seconds)
+        self.go_on()
+
     def end(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(WAIT_S)
@@ -387,6 +393,12 @@
     return name
 
 
+def ping(wire: Wire) -> None:
+    """A test that is passed: the program has read what came on this connection before."""
+    wire.send("OPTIONS rtsp://media/ping RTSP/1.0", "00000000000000aa", 3)
+    assert answer(wire).status == 200
+
+
 def answer(wire: Wire, start: str = "RTSP/1.0") -> Message:
     message = wire.read()
     assert message is not None and message.start.startswith(start), message and message.start
--- a/cloverhinge/net/buffered.py
+++ b/cloverhinge/net/buffered.py
@@ -10,6 +10,7 @@
 from zope.interface import implementer
 
 MESSAGE_MAX = 16 * 1024  # bytes of one message, headers and body
+UNREAD_MS = 50.0  # for the reactor to read what lies in a socket
 
 
 @implementer(IPushProducer)
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -142,7 +142,6 @@
             )
         elif request.state is State.OPEN:
             connection.open[ask.name] = request
-            self.arrange(connection)
 
     def _come_again(self, connection: ClientConnection, name: str, stood: bool) -> bool:
         """Whether this is the viewer of a session that was taken over, or whose connection is gone."""
--- a/cloverhinge/rtsp/media_servers.py
+++ b/cloverhinge/rtsp/media_servers.py
@@ -25,9 +25,7 @@
 
 PROBE_MS = 300.0
 SWEEP_MS = 400.0
-CONNECTIONS_MOST = (
-    8  # to one media server; as many as there are set-ups under way to it at once on the busiest days
-)
+CONNECTIONS_MOST = 8  # to one server; as many as there are set-ups under way to it on the busiest days
 
 
 class MediaServers:
@@ -101,10 +99,8 @@
                 if connection.attempts.get(name) is attempt:
                     del connection.attempts[name]
                     connection.send(messages.request("TEARDOWN", "rtsp://media/session", 2, name))
-                    if (
-                        self.clock.now() >= attempt.until_ms
-                    ):  # a connection that left a set-up unanswered is spent
-                        one.retire(connection)
+                    if self.clock.now() >= attempt.until_ms:
+                        one.retire(connection)  # it left a set-up unanswered, so it is spent
 
     def _known_as(self, server: int) -> list[ServerPool]:
         """The listed one of this number, and those whose connections still drain."""
--- a/cloverhinge/rtsp/server_connection.py
+++ b/cloverhinge/rtsp/server_connection.py
@@ -11,12 +11,12 @@
 
 from cloverhinge.core.deadlines import Key
 from cloverhinge.core.model import Attempt
+from cloverhinge.net.buffered import UNREAD_MS
 from cloverhinge.rtsp import messages
 
 if TYPE_CHECKING:
     from cloverhinge.rtsp.server_pool import ServerPool
 
-UNREAD_MS = 50.0  # for the reactor to read what lies in a socket
 PARTIAL_MS = 400.0  # a message that is not whole so long after its first part never will be
 
 
@@ -31,7 +31,7 @@
 
 
 class ServerConnection(messages.RtspProtocol):
-    """One connection to a pool."""
+    """One connection to a media server."""
 
     def __init__(self, pool: ServerPool) -> None:
         super().__init__()
--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -29,9 +29,7 @@
 SHORT_MS = 1000.0  # a connection that lasted so long is opened anew at once
 REFUSED_MS = 2500.0  # a media server that refuses connections for so long holds no session any more
 RETRY_MS = (200.0, 2000.0)  # pause before a failed connection is tried again
-IDLE_SHARE = (
-    0.6  # of the time after which idle connections are closed, a connection without traffic is given up
-)
+IDLE_SHARE = 0.6  # of the time after which idle connections are closed, one without traffic is given up
 RETIRE_MS = 1500.0  # a replaced connection is read for so long after its end was announced
 SPARE_MS = 5000.0  # a connection beyond the first that carried no set-up for so long is closed
 HELD_MOST = 256  # releases kept for a media server that can't be reached
@@ -63,7 +61,7 @@
 
 @dataclass(eq=False)
 class ServerPool:
-    """A listed pool.  Keyed by its id: another one may have its address later."""
+    """The connections to a listed media server.  Keyed by its id: another one may have its address later."""
 
     servers: MediaServers
     address: ServerAddress
@@ -316,9 +314,9 @@
             return
         if self.connections and now - self.connections[0].traffic_ms > IDLE_SHARE * self.servers.idle_ms:
             self.replace()
-        if now - self.heard_ms > DEAD_MS and any(connection.unread for connection in self.all_connections()):
-            return  # this process stood still: what has come meanwhile is read first
         if now - self.heard_ms > DEAD_MS:
+            if any(connection.unread for connection in self.all_connections()):
+                return  # this process stood still: what has come meanwhile is read first
             self.servers.log.warn(
                 "media server {name}: silent, its sessions are taken as lost", name=self.address.name
             )
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -2,27 +2,21 @@
 
 from __future__ import annotations
 
-import select
 from pathlib import Path
 
-from cloverhinge.lab.stand import Wire, answer, ask, site
+from cloverhinge.lab.stand import answer, ask, ping, site
 
 OVERDUE_S = 3.2  # longer than any limit on silent clients
 TABLE = 24  # connections that a program of 64 descriptors holds
 
 
-def rest(client: Wire) -> None:
-    client.send("OPTIONS rtsp://media/ping RTSP/1.0", "00000000000000aa", 3)
-    assert answer(client).status == 200
-
-
 def test_a_request_that_came_while_the_process_stood_outlives_the_limit_on_silence(tmp_path: Path) -> None:
     """Guards against timers that run ahead of the sockets after a pause."""
     with site(tmp_path, 1) as (program, _, _log):
         silent, midway, watcher = (program.connect() for _ in range(3))
-        rest(watcher)
+        ping(watcher)
         midway.sock.sendall(b"SETUP rtsp://media/7f3a")
-        rest(watcher)
+        ping(watcher)
         program.pause()
         ask(silent, 1, wait_ms=9000)
         midway.sock.sendall(
@@ -30,8 +24,7 @@
             b"X-Ring-Limit: 9000\r\nX-Dest: home:0;copies:3;top:1;viewer:00000000b4d65521\r\n"
             b"Content-Length: 0\r\n\r\n"
         )
-        select.select([watcher.sock], [], [], OVERDUE_S)  # nothing comes: the limits pass meanwhile
-        program.go_on()
+        program.go_on_after(OVERDUE_S, watcher)
         assert answer(silent).status == 200
         assert answer(midway).status == 200
 
@@ -41,7 +34,7 @@
     with site(tmp_path, 1, sockets=64) as (program, _, _log):
         clients = [program.connect() for _ in range(TABLE)]
         for client in clients:
-            rest(client)
+            ping(client)
         program.pause()
         newcomer = program.connect()
         ask(clients[0], 1)  # it has rested the longest
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -2,23 +2,16 @@
 
 from __future__ import annotations
 
-import select
 from pathlib import Path
 
 import pytest
 
-from cloverhinge.lab.stand import Program, Wire, answer, ask, site
+from cloverhinge.lab.stand import answer, ask, site
 
 PARTIAL_S = 0.6  # longer than a message from a server may stay unfinished
 DEAD_S = 8.0  # longer than a server with sessions may say nothing
 
 
-def stand_still(program: Program, client: Wire, seconds: float) -> None:
-    """Nothing comes to the client meanwhile."""
-    select.select([client.sock], [], [], seconds)
-    program.go_on()
-
-
 def test_an_answer_whose_rest_came_during_a_pause_is_taken(tmp_path: Path) -> None:
     with site(tmp_path, 1) as (program, (pump,), _):
         pump.script = pump.hold
@@ -31,7 +24,7 @@
         assert answer(client).headers["cseq"] == "3"
         program.pause()
         wire.sock.sendall(whole[30:])
-        stand_still(program, client, PARTIAL_S)
+        program.go_on_after(PARTIAL_S, client)
         served = answer(client)
         assert (served.status, served.body) == (200, b"made")
 
@@ -46,7 +39,7 @@
         program.pause()
         if says:
             wire.send("ANNOUNCE rtsp://media/x RTSP/1.0", name, 7, X_Why="delivered", X_Reading="1.0")
-        stand_still(program, client, DEAD_S)
+        program.go_on_after(DEAD_S, client)
         client.send("OPTIONS rtsp://media/ping RTSP/1.0", "00000000000000aa", 3)
         if not says:
             assert answer(client, "TEARDOWN").headers["reason"] == "cause=41"
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from cloverhinge.lab.stand import WAIT_S, Message, Program, Wire, answer, ask, site
+from cloverhinge.lab.stand import WAIT_S, Message, Program, Wire, answer, ask, ping, site
 
 ACCEPT_S = 0.9  # longer than requests are accepted after SIGTERM
 EXIT_S = 1.0  # longer than the end takes where nothing is open
@@ -24,17 +24,6 @@
     program.wait_for("told to end")
 
 
-def stand_still(program: Program, client: Wire) -> None:
-    """Until the time to accept is over.  Nothing comes to the client meanwhile."""
-    select.select([client.sock], [], [], ACCEPT_S)
-    program.go_on()
-
-
-def rest(client: Wire) -> None:
-    client.send("OPTIONS rtsp://media/ping RTSP/1.0", "00000000000000aa", 3)
-    assert answer(client).status == 200
-
-
 class Slow:
     """A server that answers its set-ups when told to."""
 
@@ -59,13 +48,13 @@
     with site(tmp_path, 1) as (program, pumps, _):
         pumps[0].script = slow = Slow()
         client = program.connect()
-        rest(client)
+        ping(client)
         told_to_end(program)
         program.pause()
         if where != "on an open connection":
             client = program.connect()
         ask(client, 1)
-        stand_still(program, client)
+        program.go_on_after(ACCEPT_S, client)
         slow.answer_after_exit_would_come(program, client)
         assert answer(client).status == 200
         assert program.process.wait(WAIT_S) == 0
@@ -74,7 +63,7 @@
 def test_a_request_in_two_pieces_around_the_end_is_answered(tmp_path: Path) -> None:
     with site(tmp_path, 1) as (program, _, _log):
         client = program.connect()
-        rest(client)
+        ping(client)
         client.sock.sendall(b"SETUP rtsp://media/7f3a")
         told_to_end(program)
         program.pause()
@@ -83,7 +72,7 @@
             b"X-Ring-Limit: 3000\r\nX-Dest: home:0;copies:3;top:1;viewer:00000000b4d65521\r\n"
             b"Content-Length: 0\r\n\r\n"
         )
-        stand_still(program, client)
+        program.go_on_after(ACCEPT_S, client)
         assert answer(client).status == 200
         assert program.process.wait(WAIT_S) == 0
 
@@ -101,7 +90,7 @@
         program.pause()
         first.go.set()
         ask(client, 2)
-        stand_still(program, client)
+        program.go_on_after(ACCEPT_S, client)
         assert answer(client).session == f"{1:016x}"
         second.answer_after_exit_would_come(program, client)
         assert answer(client).session == f"{2:016x}"
@@ -111,7 +100,7 @@
 def test_an_end_at_rest_takes_a_second_at_most_and_a_second_sigterm_changes_nothing(tmp_path: Path) -> None:
     with site(tmp_path, 1) as (program, _, _log):
         client = program.connect()
-        rest(client)
+        ping(client)
         told_to_end(program)
         program.process.send_signal(signal.SIGTERM)
         assert client.read() is None  # its end is announced
@@ -121,7 +110,7 @@
 def test_a_client_that_keeps_half_a_request_does_not_keep_the_program(tmp_path: Path) -> None:
     with site(tmp_path, 1) as (program, _, _log):
         client = program.connect()
-        rest(client)
+        ping(client)
         client.sock.sendall(b"SETUP rtsp://media/7f3a")
         told_to_end(program)
         assert program.process.wait(WAIT_S) == 0
