--- /dev/null
+++ b/tests/test_shutdown_kill.py
@@ -0,0 +1,160 @@
+"""Shutdown until the kill: what arrives on connections that stay open is answered before the process may be killed.
+
+The platform may kill a process `min(longest deadline, 3 s) + 0.7 s` after SIGTERM, and clients go on sending on open
+connections until then.  A request is lost if its connection ends without an answer, except for one that crossed the
+close of a connection within 50 ms, or that the kill found open if it came within 0.7 s after SIGTERM.
+"""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverhinge.lab.harness import SETTINGS, Program, running_program, send_set_up
+
+MAX_COUNTED_DEADLINE_S = 3.0
+KILL_AFTER_S = 0.7
+NEW_REQUESTS_S = 0.7  # requests that came later than this after SIGTERM are lost if the kill finds them open
+CROSSING_S = 0.05
+DEADLINES_S = [(5.0, 3.0), (4.0, 3.0), (3.0, 2.5), (1.4, 1.0), (0.9, 0.7), (0.5, 0.5)]  # of `free` and `paid`
+HUNG, QUICK = "home:0;copies:1;top:1", "home:1;copies:1;top:1"
+
+
+def settings_with_deadlines(free_s: float, paid_s: float) -> dict[str, Any]:
+    """The classes of the harness with other deadlines; each class aims at half of its deadline."""
+    deadlines_s = {"free": free_s, "paid": paid_s}
+    classes = [
+        {
+            **row,
+            "hardLimitUs": int(deadlines_s[row["name"]] * 1e6),
+            "aimUs": int(deadlines_s[row["name"]] * 5e5),
+        }
+        for row in SETTINGS["classes"]
+    ]
+    return {"classes": classes}
+
+
+@dataclass
+class SentRequest:
+    """A set-up that a client sent, and the status of its answer."""
+
+    session: str
+    class_name: str
+    dest: str
+    sent_s: float
+    status: int = 0  # 0: no answer
+    answered_s: float = 0.0
+
+
+class SteadyClient:
+    """A client that sends set-ups on one connection, one each `interval_s`, until the connection ends."""
+
+    def __init__(self, program: Program, number: int, interval_s: float, wait_s: dict[str, float]) -> None:
+        self.connection, self.number, self.interval_s = program.connect(), number, interval_s
+        self.wait_s = wait_s
+        self.requests: dict[str, SentRequest] = {}
+        self.ended_s: float | None = None
+        self._ended = threading.Event()
+        self._threads = [threading.Thread(target=x, daemon=True) for x in (self._write, self._read)]
+
+    def start(self) -> None:
+        """Begin to send and to read."""
+        for thread in self._threads:
+            thread.start()
+
+    def join(self) -> None:
+        """Wait until the connection has ended."""
+        for thread in self._threads:
+            thread.join()
+        self.connection.close()
+
+    def _write(self) -> None:
+        count = 0
+        while not self._ended.wait(self.interval_s):
+            count += 1
+            class_name = "paid" if count % 2 else "free"
+            dest = HUNG if count % 4 < 2 else QUICK
+            session = f"{self.number * 1_000_000 + count:016x}"
+            self.requests[session] = SentRequest(session, class_name, dest, time.monotonic())
+            with suppress(OSError):  # closed by the program
+                send_set_up(
+                    self.connection,
+                    int(session, 16),
+                    class_name,
+                    wait_ms=int(self.wait_s[class_name] * 1000),
+                    dest=dest,
+                    title=f"{self.number:08x}{count:08x}",
+                )
+
+    def _read(self) -> None:
+        while (message := self.connection.read()) is not None:
+            request = self.requests.get(message.session)
+            if request is not None and message.status >= 200:
+                assert request.status == 0, f"second answer to {request}"
+                request.status, request.answered_s = message.status, time.monotonic()
+        self.ended_s = time.monotonic()
+        self._ended.set()
+
+    def lost(self, killed: bool, terminated_s: float) -> list[SentRequest]:
+        """The requests that were lost when the program ended."""
+        assert self.ended_s is not None
+        unanswered = [x for x in self.requests.values() if not x.status]
+        if killed:
+            return [x for x in unanswered if x.sent_s > terminated_s + NEW_REQUESTS_S]
+        return [x for x in unanswered if x.sent_s < self.ended_s - CROSSING_S]
+
+
+def earliest_kill_s(deadlines_s: tuple[float, float]) -> float:
+    """The earliest time of SIGKILL after SIGTERM."""
+    return min(max(deadlines_s), MAX_COUNTED_DEADLINE_S) + KILL_AFTER_S
+
+
+def terminate_and_kill(program: Program, kill_s: float) -> tuple[float, bool]:
+    """Send SIGTERM and, `kill_s` later, SIGKILL; return the time of SIGTERM and whether the kill was needed."""
+    terminated_s = time.monotonic()
+    program.process.send_signal(signal.SIGTERM)
+    killer = threading.Timer(kill_s, program.process.kill)
+    killer.start()
+    code = program.process.wait()
+    killer.cancel()
+    return terminated_s, code == -signal.SIGKILL
+
+
+def run_clients(
+    folder: Path, deadlines_s: tuple[float, float], count: int = 3, interval_s: float = 0.05
+) -> tuple[list[SteadyClient], float, bool]:
+    """Shut a program down while one of its two media servers hangs and clients go on sending.
+
+    Returns the clients, the time of SIGTERM, and whether the process had to be killed.
+    """
+    free_s, paid_s = deadlines_s
+    with running_program(folder, 2, **settings_with_deadlines(free_s, paid_s)) as (program, servers, _):
+        servers[0].on_set_up = servers[0].leave_unanswered
+        wait_s = {"free": free_s, "paid": paid_s}
+        clients = [SteadyClient(program, n + 1, interval_s, wait_s) for n in range(count)]
+        for client in clients:
+            client.start()
+        servers[0].expect("SETUP")
+        terminated_s, killed = terminate_and_kill(program, earliest_kill_s(deadlines_s))
+        for client in clients:
+            client.join()
+        print("".join(program.log[-20:]))
+        return clients, terminated_s, killed
+
+
+# Guards against requests that are left with no answer when a stopping process is killed or ends by itself.
+@pytest.mark.parametrize("deadlines_s", DEADLINES_S, ids=lambda x: f"{x[0]}-{x[1]}")
+def test_no_request_on_a_connection_kept_busy_by_a_hung_server_is_lost_at_shutdown(
+    tmp_path: Path, deadlines_s: tuple[float, float]
+) -> None:
+    clients, terminated_s, killed = run_clients(tmp_path, deadlines_s)
+    lost = [x for client in clients for x in client.lost(killed, terminated_s)]
+    assert not lost, f"{len(lost)} lost, killed: {killed}, first at {lost[0].sent_s - terminated_s:.3f} s"
+    assert not killed
