Log: phases of a shutdown with what is open, and requests and connections on demand

The start of a shutdown now states its times, and the end of each phase the numbers left open. With LB_LOG_REQUESTS=1 each request, attempt and its end, refusal, failure, give-up and close is a line with session, server and phase; by default that is one test of a flag for each event.

--- a/cloverhinge/config.py
+++ b/cloverhinge/config.py
@@ -31,6 +31,7 @@
     idle_ms: float  # after which an idle connection to a media server is closed
     operator_address: tuple[str, int] | None = None  # listens for operator commands
     listener_fd: int | None = None  # file descriptor of an inherited listening socket for clients
+    log_requests: bool = False  # whether each request and connection is logged
 
 
 def read(path: str, environment: Mapping[str, str] | None = None) -> Config:
@@ -84,6 +85,7 @@
         idle_ms=float(setting_limits.get("connIdleUs") or 30_000_000) / 1000,
         operator_address=parse_address(str(operators), min_port=0) if operators else None,
         listener_fd=int(fd) if fd else None,
+        log_requests=environment.get("LB_LOG_REQUESTS") == "1",
     )
 
 
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -31,6 +31,7 @@
     State,
     Tally,
 )
+from cloverhinge.core.request_log import RequestLog
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.interface import Effect, Health, Outcome
@@ -73,6 +74,7 @@
         self.listings: dict[int, api.ServerListing] = {}  # servers in maintenance mode are listed as draining
         self.maintenance: dict[int, MaintenanceEntry] = {}  # servers that an operator put in maintenance mode
         self.counters = Counters({class_name: Tally() for class_name in self.classes})
+        self.request_log = RequestLog()
         self.prober: Prober | None = None
         self.admission: AdmissionPort | None = None
         self.ownership: OwnershipPort | None = None
@@ -133,6 +135,7 @@
         """
         if self.requests.full or set_up.session_id in self.by_session_id:
             self.counters.tallies[set_up.class_name].shed += set_up.session_id not in self.by_session_id
+            self.request_log.request(set_up.session_id, "not taken", open=self.open_requests)
             return None
         now = self.clock.now()
         request = self._register(set_up, client, servers, now)
@@ -157,6 +160,7 @@
             request.state is State.OPEN and not request.attempts, "turned away before any attempt"
         ):
             request.tally.shed += 1
+            self._log(request, "rejected by admission", retry_after_ms=round(retry_after_ms))
             self._conclude(request)
             request.client.refused(retry_after_ms if self.settings.retry_after else 0.0, reservation_token)
 
@@ -219,6 +223,7 @@
     def viewer_left(self, request: Request) -> None:
         """The viewer cancels the set-up or ends the session; it gets no further answer."""
         if request.state is State.OPEN:
+            self._log(request, "given up by its client")
             self.counters.left += 1
             attempt = request.attempt
             if attempt is not None and not attempt.ended_by_sender:
@@ -245,6 +250,7 @@
         if not self._may_attempt(request, server):
             self._report_ended(attempt, Outcome.MOOT, concluded=False)
             return
+        self._log(request, "attempt", number=attempt.number, server=server, wait_ms=round(until_ms - now))
         request.attempt = attempt
         attempt.deadline = self.deadlines.schedule(until_ms, lambda: self._timed_out(attempt))
         self.counters.attempts += 1
@@ -272,6 +278,7 @@
         attempt = request.attempt
         if attempt is not None and not attempt.ended_by_sender:
             self._give_up(attempt)
+        self._log(request, "concluded unsent", failed=failed)
         if failed:
             request.tally.errors += 1
         else:
@@ -308,6 +315,7 @@
             attempt, request.attempt = request.attempt, None
             if attempt is not None:
                 self.deadlines.cancel(attempt.deadline)
+            self._log(request, "failed, another router owns it")
             request.tally.errors += 1
             self._conclude(request)
             request.client.failed(None)
@@ -418,6 +426,7 @@
         if not outcome.never_ran:
             request.may_have_run = True
         self.counters.count_outcome(outcome)
+        self._log(request, "attempt ended", server=attempt.server, outcome=outcome.value)
         self.dispatch(
             api.AttemptEnded(
                 request.handle,
@@ -450,6 +459,7 @@
         self._conclude(request, keep=True)
         self._establish(request, attempt.server)
         request.tally.ok += 1
+        self._log(request, "served", server=attempt.server)
         if self.ownership is None:
             request.client.served(answer)
         else:
@@ -457,6 +467,11 @@
         self.dispatch(api.SessionStarted(request.handle, attempt.server, attempt.number))
         return True
 
+    def _log(self, request: Request, event: str, **details: object) -> None:
+        self.request_log.request(
+            request.set_up.session_id, event, age_ms=round(self.clock.now() - request.received_ms), **details
+        )
+
     # Final answers
 
     def _conclude(self, request: Request, keep: bool = False) -> None:
@@ -500,6 +515,7 @@
         if self.admission is not None:
             estimate_ms, reservation_token = self.admission.refused(request, retry_after_ms)
             retry_after_ms = estimate_ms if self.settings.retry_after else 0.0
+        self._log(request, "refused", retry_after_ms=round(retry_after_ms))
         self._conclude(request)
         request.client.refused(retry_after_ms, reservation_token)
 
@@ -513,6 +529,7 @@
             self.deadlines.cancel(request.attempt.deadline)
             request.attempt = None
         request.tally.errors += 1
+        self._log(request, "failed")
         self._conclude(request)
         request.client.failed(request.last_outcome)
 
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -70,6 +70,7 @@
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock, reactor.callLater)
         self.router = Router(config.settings, config.seed, self.clock, self.deadlines)
+        self.router.request_log.enabled = config.log_requests
         self.media_servers = MediaServers(
             reactor,
             self.router,
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -79,6 +79,7 @@
         self.open_connections += 1
         connection.opened_ms = connection.last_message_ms = self.clock.now()
         if self.connections.full and not self._evict_one():
+            connection.log_event("dropped, the table is full")
             connection.drop()
             return
         connection.handle = self.connections.put(connection)
@@ -93,6 +94,7 @@
         for rank in (self.awaiting_message, self.idle, self.with_sessions):
             for connection in islice(rank.values(), MAX_EVICTION_CANDIDATES):
                 if not connection.unread:
+                    connection.log_event("closed to make room")
                     self.remove(connection)
                     connection.close()
                     return True
@@ -120,6 +122,7 @@
     def connection_closed(self, connection: ClientConnection) -> None:
         """Remove a connection and give up its open set-ups."""
         self.open_connections -= 1
+        connection.log_event("ended", unanswered=len(connection.unanswered), queued=len(connection.queue))
         self.remove(connection)
         connection.queue.clear()
         for request in list(connection.unanswered.values()):
@@ -164,6 +167,7 @@
             if self.router.adopt(set_up, server_number(playing_at), client, self.servers) is not None:
                 client.set_established(True)
         elif set_up.session_id in self.router.by_session_id:
+            self.router.request_log.request(set_up.session_id, "refused, its id is in use")
             connection.send(messages.encode_response(455, "1", set_up.session_id))
         elif (request := self.router.open_request(set_up, client, self.servers)) is None:
             connection.send(
@@ -214,6 +218,7 @@
             young = not connection.has_sent_message and now - connection.opened_ms < FIRST_SET_UP_GRACE_MS
             has_unanswered = connection.unanswered or len(connection.queue)
             if not has_unanswered and not young and not connection.mid_message and not connection.unread:
+                connection.log_event("half-closed, idle")
                 connection.half_closed_ms = now
                 connection.half_close()
         return left
@@ -248,5 +253,6 @@
             # After a pause of this process timers run before the sockets are read: an overdue connection may
             # hold a complete request that is still unread.
             if connection.overdue(now) and not connection.unread:
+                connection.log_event("closed, no whole message in time")
                 connection.close()
         self.deadlines.after(SWEEP_INTERVAL_MS, self._sweep)
--- a/cloverhinge/shutdown.py
+++ b/cloverhinge/shutdown.py
@@ -92,8 +92,13 @@
             return
         self.phase, self.front.ready = Phase.ACCEPTING, False  # OPTIONS is now answered with 503
         self.until_ms = self.deadlines.clock.now() + self.max_wait_ms + KILL_MARGIN_MS
+        self.router.request_log.phase = self.phase.value
         self.log.info(
-            "{name}: told to end, {open} requests open", name=self.name, open=self.router.open_requests
+            "{name}: told to end, {open} requests open; accepts for {accept} ms, ends after {end} ms",
+            name=self.name,
+            open=self.router.open_requests,
+            accept=0 if shared_listener else round(MAX_ACCEPT_MS),
+            end=round(self.max_wait_ms + KILL_MARGIN_MS),
         )
         if shared_listener:
             for listener in self.hooks.listeners():
@@ -117,7 +122,7 @@
                 return
 
     def _close(self) -> None:
-        self.phase = Phase.CLOSING
+        self._set_phase(Phase.CLOSING)
         self.hooks.closed()
         self._end_connections()
 
@@ -133,7 +138,7 @@
             left=self.front.open_connections,
             open=self.router.open_requests,
         )
-        self.phase = Phase.LEAVING
+        self._set_phase(Phase.LEAVING)
         self.hooks.ended()
         self._leave(now + MAX_TAKE_OVER_MS)
 
@@ -148,5 +153,17 @@
         if self.router.open_requests and self.deadlines.clock.now() < self.until_ms:
             self.deadlines.after(IDLE_POLL_MS, self._stop)
             return
-        self.phase = Phase.STOPPED
+        self._set_phase(Phase.STOPPED)
         self.hooks.stop()
+
+    def _set_phase(self, phase: Phase) -> None:
+        self.log.info(
+            "{name}: {before} is over, {phase} with {connections} connections and {open} requests open",
+            name=self.name,
+            before=self.phase.value,
+            phase=phase.value,
+            connections=self.front.open_connections,
+            open=self.router.open_requests,
+        )
+        self.phase = phase
+        self.router.request_log.phase = phase.value
