Tests: the port of a stopped server stays reserved while a test has it refuse connections

Cause, by the log of one failure: `media server s-: connection opened` at an address that should refuse; another test's process had been given the freed port and listened there. The harness now binds the port without listening meanwhile, so that it refuses and nobody else gets it; two more tests freed a port in the same way. No bound is changed. Also logged on demand: connections to media servers that open, fail and end.

--- a/cloverhinge/core/request_log.py
+++ b/cloverhinge/core/request_log.py
@@ -29,6 +29,11 @@
         if self.enabled:
             self._write(f"connection from {peer}: {event}", details)
 
+    def server(self, name: str, event: str, **details: object) -> None:
+        """Log an event of the connections to a media server."""
+        if self.enabled:
+            self._write(f"media server {name}: {event}", details)
+
     def _write(self, text: str, details: dict[str, object]) -> None:
         pairs = "".join(f", {name} {value}" for name, value in details.items())
         self.log.info("{text}{pairs}, phase {phase}", text=text, pairs=pairs, phase=self.phase)
--- a/cloverhinge/lab/harness.py
+++ b/cloverhinge/lab/harness.py
@@ -117,6 +117,17 @@
         self.sock.close()
 
 
+def reserve_port(host: str, port: int) -> socket.socket:
+    """Binds a port without listening: it refuses connections, and no other process gets its number.
+
+    A listener of this process may be opened on it meanwhile.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((host, port))
+    return reserved
+
+
 class Listener:
     """Accepts connections on loopback and runs `serve` for each in a thread of its own.
 
@@ -148,6 +159,14 @@
         for connection in self.connections:
             connection.close(reset)
 
+    @contextmanager
+    def stopped(self, reset: bool = False) -> Iterator[int]:
+        """Stops, and keeps the port, whose number it yields, from other processes."""
+        host, port = self.socket.getsockname()
+        self.stop(reset)
+        with reserve_port(host, port):
+            yield port
+
 
 class FakeMediaServer(Listener):
     """An RTSP media server that answers probes itself.
--- a/cloverhinge/lab/hub.py
+++ b/cloverhinge/lab/hub.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
+from cloverhinge.lab.harness import reserve_port
 from cloverhinge.lab.record import Record
 
 Address = tuple[str, int]
@@ -64,9 +65,7 @@
 
     def reserve(self) -> None:
         """Binds the port, so that no other process takes the number before `Hub.attach`."""
-        self.reserved = socket.socket()
-        self.reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.reserved.bind((self.host, self.port))
+        self.reserved = reserve_port(self.host, self.port)
 
     def connection_made(self, transport: Any) -> None:
         """Keeps the transport of the datagram endpoint."""
--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -101,6 +101,7 @@
 
     def connection_opened(self, connection: ServerConnection) -> None:
         """Add a new connection to the pool and send what waits."""
+        self._log_event("connection opened", open=len(self.connections) + 1)
         self.opening, self.backoff_ms = self.opening - 1, RETRY_BACKOFF_MS[0]
         self.was_reset, self.refused_since_ms = False, None
         connection.opened_ms = connection.last_set_up_ms = connection.last_traffic_ms = (
@@ -121,6 +122,9 @@
         self._send_unsent(connection)
         self.flush()
 
+    def _log_event(self, event: str, **details: object) -> None:
+        self.servers.router.request_log.server(self.address.name, event, **details)
+
     def _send_unsent(self, connection: ServerConnection) -> None:
         while self.unsent:
             connection.send(self.unsent.popleft())
@@ -146,6 +150,7 @@
             now + self.backoff_ms,
             min(self.backoff_ms * 2, RETRY_BACKOFF_MS[1]),
         )
+        self._log_event("connection failed", refused=refused, retry_ms=round(self.retry_at_ms - now))
         if not self.listed:
             self.unsent.clear()  # an unlisted server gets a single attempt
             return
@@ -178,6 +183,7 @@
             if connection in connections:
                 connections.remove(connection)
         attempts, probes = list(connection.attempts.values()), list(connection.probes.values())
+        self._log_event("connection ended", attempts=len(attempts), probes=len(probes))
         connection.attempts.clear()
         connection.probes.clear()
         now = self.servers.clock.now()
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -161,11 +161,10 @@
     with running_program(tmp_path, 1, change_log=log, sockets=sockets) as (program, (server,), _):
         resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
         _, first = follower(log)
-        port = log.socket.getsockname()[1]
-        log.stop(reset=True)
-        first.close()
-        idle = [program.connect() for _ in range(2 * sockets)]
-        back = Scripted(port)
+        with log.stopped(reset=True) as port:
+            first.close()
+            idle = [program.connect() for _ in range(2 * sockets)]
+            back = Scripted(port)
         assert follower(back)[0] == 1
         client = program.connect()
         assert served(client, 1, "title") == 200 and server.set_up_sessions
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -112,9 +112,8 @@
         viewer, old = program.connect(), servers[0]
         established = send_set_up(viewer, 1)
         assert read_answer(viewer).status == 200
-        port = old.address.partition(":")[2]
-        old.stop(reset=True)
-        new = FakeMediaServer("s-000000aa", 0, int(port))
+        with old.stopped(reset=True) as port:
+            new = FakeMediaServer("s-000000aa", 0, port)
         assert new.address == old.address
         assert read_answer(viewer, "TEARDOWN").session == established  # long before the list is updated
         log.publish([old.list_entry("left"), new.list_entry()])
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -179,20 +179,19 @@
     A server at its limit of connections refuses new ones as well, and its sessions must not be cut for that.
     """
     with running_program(tmp_path, 1, program=guards.router_command()) as (program, servers, _):
-        port = servers[0].socket.getsockname()[1]
-        servers[0].stop()
-        client = program.connect()
-        name = send_set_up(client, 1, dest="home:0;copies:3;top:1;viewer:aa;at:s-00000000")
-        started = time.monotonic()
-        gone = read_answer(client, "TEARDOWN")
-        assert (gone.session, gone.headers["reason"]) == (name, "cause=41")
-        assert 2.0 < time.monotonic() - started < 8.0
-        again = send_set_up(client, 2, dest="home:0;copies:3;top:1;viewer:aa;at:s-00000000")
-        back = FakeMediaServer("s-00000000", 0, port)  # it accepts connections again
-        client.send("TEARDOWN rtsp://media/x RTSP/1.0", again, 2)
-        assert read_answer(client).status == 200
-        assert {back.expect("TEARDOWN")[1].session for _ in range(2)} == {name, again}
-        back.stop()
+        with servers[0].stopped() as port:
+            client = program.connect()
+            name = send_set_up(client, 1, dest="home:0;copies:3;top:1;viewer:aa;at:s-00000000")
+            started = time.monotonic()
+            gone = read_answer(client, "TEARDOWN")
+            assert (gone.session, gone.headers["reason"]) == (name, "cause=41")
+            assert 2.0 < time.monotonic() - started < 8.0
+            again = send_set_up(client, 2, dest="home:0;copies:3;top:1;viewer:aa;at:s-00000000")
+            back = FakeMediaServer("s-00000000", 0, port)  # it accepts connections again
+            client.send("TEARDOWN rtsp://media/x RTSP/1.0", again, 2)
+            assert read_answer(client).status == 200
+            assert {back.expect("TEARDOWN")[1].session for _ in range(2)} == {name, again}
+            back.stop()
 
 
 def test_a_draining_server_gets_no_set_up_and_a_handed_over_session_no_answer(tmp_path: Path) -> None:
