RTSP front: a connection with an open set-up is not closed for bad or slow input on it

Callers saw: a set-up without an answer when later input on the same connection was malformed, or a message on it stayed incomplete for 2 s. Cause: both limits closed the connection whatever was open on it; the protocol allows that only without an open set-up.

--- a/cloverhinge/net/buffered.py
+++ b/cloverhinge/net/buffered.py
@@ -30,6 +30,7 @@
         self.buffer = bytearray()
         self.expected = 0
         self.gone = False  # the connection is closed, or closing
+        self.discarding = False  # input is read and discarded from now on
 
     def connectionMade(self) -> None:
         transport: Any = self.transport
@@ -49,7 +50,7 @@
     def dataReceived(self, data: bytes) -> None:
         self.buffer += data
         at = 0
-        while not self.gone:
+        while not (self.gone or self.discarding):
             if self.line_mode:
                 end = self.buffer.find(self.delimiter, at)
                 if end < 0:
@@ -63,6 +64,8 @@
                 piece = bytes(self.buffer[at : at + self.expected])
                 at += self.expected
                 self.rawDataReceived(piece)  # type: ignore[no-untyped-call]
+        if self.discarding:
+            at = len(self.buffer)
         del self.buffer[:at]
         if not self.gone and len(self.buffer) > self.MAX_LENGTH:
             self.oversized()
--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -88,6 +88,19 @@
                 return
             transport.doRead()
 
+    @property
+    def has_open_set_ups(self) -> bool:
+        """Whether a set-up on this connection waits for its answer or to be begun."""
+        return bool(self.unanswered) or len(self.queue) > 0
+
+    def close(self) -> None:
+        """Close the connection; while a set-up is open, only discard its input until the sweep closes it."""
+        if self.has_open_set_ups and not self.gone:
+            self.log_event("discards its input until its set-ups are answered")
+            self.discarding, self.message = True, None
+        else:
+            super().close()
+
     def presence(self) -> Presence:
         """Whether the client is still there, as the connection shows without reading from it."""
         unread = None if self.gone else self.peek()
@@ -106,10 +119,15 @@
         transport.loseWriteConnection()
 
     def overdue(self, now: float) -> bool:
-        """Whether the first message, or the rest of an incomplete one, has not arrived in time.
+        """Whether the connection is to be closed: the first message, or the rest of an incomplete one, has
+        not arrived in time, or its input was malformed, and no set-up is open on it.
 
         Single bytes do not extend the time, so a client that trickles its input is closed as well.
         """
+        if self.has_open_set_ups:
+            return False
+        if self.discarding:
+            return True
         if not self.has_sent_message:
             return now - self.opened_ms > FIRST_MESSAGE_TIMEOUT_MS
         return self.partial_since_ms is not None and now - self.partial_since_ms > PARTIAL_MESSAGE_TIMEOUT_MS
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -105,7 +105,7 @@
         if connection.handle and connection.rank.pop(connection.handle, None) is not None:
             connection.rank = (
                 self.busy
-                if connection.unanswered or len(connection.queue)
+                if connection.has_open_set_ups
                 else self.awaiting_message
                 if not connection.has_sent_message
                 else self.with_sessions
@@ -216,8 +216,12 @@
                 continue
             left += 1
             young = not connection.has_sent_message and now - connection.opened_ms < FIRST_SET_UP_GRACE_MS
-            has_unanswered = connection.unanswered or len(connection.queue)
-            if not has_unanswered and not young and not connection.mid_message and not connection.unread:
+            if (
+                not connection.has_open_set_ups
+                and not young
+                and not connection.mid_message
+                and not connection.unread
+            ):
                 connection.log_event("half-closed, idle")
                 connection.half_closed_ms = now
                 connection.half_close()
@@ -265,6 +269,6 @@
             # After a pause of this process timers run before the sockets are read: an overdue connection may
             # hold a complete request that is still unread.
             if connection.overdue(now) and not connection.unread:
-                connection.log_event("closed, no whole message in time")
+                connection.log_event("closed, bad input or no whole message in time")
                 connection.close()
         self.deadlines.after(SWEEP_INTERVAL_MS, self._sweep)
