HLS over TLS: the player's connection is looked at on the socket under TLS

Callers saw: every set-up over HTTPS answered with 503, and the media server distrusted as unreachable. Cause: the look at the player's connection before an attempt asked the transport for a file descriptor, which under TLS is that of an OpenSSL object without one; the error counted as a failed connection to the media server. Change: the socket is found under the wrappers.

--- a/cloverhinge/hls/connections.py
+++ b/cloverhinge/hls/connections.py
@@ -63,7 +63,7 @@
     if request._disconnected or request.channel is None:
         return False
     poller = select.poll()
-    poller.register(request.channel.transport.getHandle().fileno(), select.POLLRDHUP)
+    poller.register(_socket_of(request.channel.transport).fileno(), select.POLLRDHUP)
     return not poller.poll(0)
 
 
--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import datetime
+import http.client
 import json
+import queue
 import random
 import socket
 import ssl
@@ -24,6 +26,7 @@
 from cloverhinge.operations import console
 from cloverhinge.site import AcmeSettings
 from tests.authority import Authority
+from tests.test_hls import MediaBox
 
 DOMAIN = "training.example"
 
@@ -71,6 +74,28 @@
     assert (tmp_path / "state" / "key.pem").stat().st_mode & 0o77 == 0
 
 
+# Guards against set-ups over TLS that fail because the player's connection can't be looked at under TLS.
+def test_a_session_is_set_up_over_tls(tmp_path: Path, authority: Authority) -> None:
+    server = MediaBox("s-00000000", 0, queue.Queue())
+    (tmp_path / "site.toml").write_text(
+        f'[hls]\nlisten = "127.0.0.1:0"\nkey = "{"k" * 32}"\n'
+        f'[hls.boxes]\n{server.name} = "{server.origin}"\n[hls.titles.intro]\ncopies = 3\n'
+        f'[acme]\ndirectory = "{authority.url}"\ndomains = ["{DOMAIN}"]\nlisten = "127.0.0.1:0"\n'
+        f'state = "{tmp_path / "state"}"\n'
+    )
+    with running_program(tmp_path, servers=[server], site_file=tmp_path / "site.toml") as (program, _, _log):
+        authority.front.set_result(int(program.wait_for(r"HLS on 127\.0\.0\.1:(\d+)")[1]))
+        port = int(program.wait_for(r"HLS over TLS on 127\.0\.0\.1:(\d+)")[1])
+        context = ssl.create_default_context()
+        context.check_hostname, context.verify_mode = False, ssl.CERT_NONE
+        connection = http.client.HTTPSConnection("127.0.0.1", port, timeout=TIMEOUT_S, context=context)
+        connection.request("GET", "/play/paid/intro?play=play-00000001")
+        response = connection.getresponse()
+        response = connection.getresponse()
+        assert response.status == 200 and b"EXTM3U" in response.read()
+        connection.close()
+
+
 class RenewalHarness:
     """A `CertificateRenewal` on a manual clock; orders run in threads, `turn` handles their results."""
 
