--- a/tests/test_acme.py
+++ b/tests/test_acme.py
@@ -91,7 +91,6 @@
         connection = http.client.HTTPSConnection("127.0.0.1", port, timeout=TIMEOUT_S, context=context)
         connection.request("GET", "/play/paid/intro?play=play-00000001")
         response = connection.getresponse()
-        response = connection.getresponse()
         assert response.status == 200 and b"EXTM3U" in response.read()
         connection.close()
 
