Router: whether a refusal is allowed is one rule, for keyed classes too

Callers saw: a request of a class by key whose group is all servers was answered as failed where the protocol allows a refusal, and a defect was counted (a debug build stopped on its assertion). Cause: the rule stood three times, and the router's own check knew repeatable classes only. It is `ServiceClass.may_refuse` now. The test of a keyed class failed on the assertion before; tests of the answers at the end of the process stand beside it.

--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -533,7 +533,7 @@
         request = self.requests.get(handle)
         if request is None or request.state is not State.OPEN:
             return
-        may_refuse = request.service_class.effect is Effect.REPEATABLE or not request.may_have_run
+        may_refuse = request.service_class.may_refuse(request.may_have_run)
         if (
             not check_invariant(request.attempt is None, "nothing out at the final answer")
             and request.attempt
--- a/cloverhinge/decision/logic.py
+++ b/cloverhinge/decision/logic.py
@@ -317,15 +317,10 @@
 
         `for_capacity`: the request could be sent but no server took it, so own sessions may step down.
         """
-        effect = session.service_class.effect
         if for_capacity:
             self.free_capacity_for_others(session)
         self.remove_session(session)
-        if (
-            session.may_have_run_at
-            and effect is not api.Effect.REPEATABLE
-            and not (effect is api.Effect.BY_KEY and session.service_class.group is api.Group.ALL)
-        ):
+        if not session.service_class.may_refuse(session.may_have_run_at is not None):
             return self.actions.append(api.Fail(session.request.session))
         # Jitter, so that refused viewers do not return together.
         wait_us = int(RETRY_AFTER_US * self.random.uniform(0.8, 1.2))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -255,3 +255,49 @@
     for _ in range(3):
         harness.take("seated")
     assert len(harness.sent) == 2 and harness.finals() == ["refused"]
+
+
+# Guards against a keyed request, which may be repeated anywhere, being failed where a refusal is allowed.
+def test_a_keyed_request_of_all_servers_that_may_have_run_is_refused() -> None:
+    keyed = api.ServiceClass("keyed", effect=api.Effect.BY_KEY, key_ttl_us=2_000_000)
+    harness = Stand(servers=1, classes=(keyed,))
+    request = harness.take("keyed")
+    assert harness.router.may_write(harness.sent[0])
+    harness.router.attempt_ended(harness.sent[0], Outcome.ERROR)
+    assert request.state is State.OVER and harness.finals() == ["refused"]
+
+
+# Guards against open requests that the end of the process leaves without an answer, or answers wrongly.
+@pytest.mark.parametrize(
+    "class_name,written,final",
+    [
+        ("film", True, "refused"),
+        ("film", False, "refused"),
+        ("paid", False, "refused"),
+        ("paid", True, "failed"),
+    ],
+)
+def test_open_requests_are_answered_at_the_end(class_name: str, written: bool, final: str) -> None:
+    harness = Stand()
+    request = harness.take(class_name)
+    if written:
+        assert harness.router.may_write(harness.sent[0])
+    harness.router.answer_open_requests()
+    assert request.state is State.OVER and harness.finals() == [final]
+    assert ("give up", harness.sent[0].server) in harness.told
+    assert not harness.router.open_requests and not harness.router.answered(harness.sent[0], b"late")
+    harness.pass_ms(10_000.0)
+    assert harness.finals() == [final]
+
+
+# Guards against a request that is taken for longer than the process lives.
+def test_requests_taken_during_a_shutdown_end_with_it() -> None:
+    harness = Stand()
+    harness.router.answer_until_ms = harness.clock.now() + 1000.0
+    request = harness.take("paid", wait_ms=3000.0)
+    assert request.expires_ms == harness.router.answer_until_ms
+    assert harness.sent[0].until_ms <= harness.router.answer_until_ms
+    harness.clock.advance(950.0)
+    set_up = SetUpRequest("f" * 16, "film", "t", 0, 6, 2, 3000.0)
+    assert harness.router.open_request(set_up, harness, harness) is None, "refused at once"
+    assert harness.router.counters.refused == 1
