--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -617,6 +617,7 @@
         server = request.server
         assert server is not None
         request.last_outcome = outcome
+        self._log(request, "session ended", server=server, outcome=outcome.value)
         self.counters.ended += 1
         self._drop(request)
         at_server = self.established.get(server, {})
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -251,6 +251,8 @@
             candidates = [x for x in self.connections if x.has_sent_message and not x.gone]
             candidates.sort(key=lambda x: (x.peer == client.peer, x.last_message_ms))
             connection = candidates[-1] if candidates else None
+        target = "none" if connection is None else f"{connection.handle:x}"
+        self.router.request_log.request(client.session_id, "end told", connection=target)
         if connection is not None:
             connection.send(data)
         else:
