RTSP front: a release goes to a connection that its client has not closed

Callers saw: a session's end not told to a client that had closed one connection and kept another. Change: a connection is looked at, as before an attempt, and one whose client has gone is passed over.

--- a/cloverhinge/lab/soak/checks.py
+++ b/cloverhinge/lab/soak/checks.py
@@ -27,6 +27,7 @@
 READY_MS = 10_000.0
 SAME_TURN_MS = 3.0  # two events this close may be read by the observer in either order
 SERVES_NOBODY_REQUESTS = 30  # answered requests from which on a process that served none is reported
+MAX_TRACEBACK_LINES = 40
 REFUSALS = {453, 454, 503}
 FEW = 30  # a cold server's budget under which its tolerance is wider
 
@@ -282,8 +283,10 @@
             yield Violation("crash", at_ms, f"{name} ended with {run.code}")
         if run.code == 0 and run.terminated_ms is None:
             yield Violation("crash", at_ms, f"{name} ended without SIGTERM")
-        if errors := [x for x in run.log if "Traceback" in x or "Unhandled" in x]:
-            yield Violation("crash", at_ms, f"{name} logged {errors[0][:100]}")
+        errors = [n for n, x in enumerate(run.log) if "Traceback" in x or "Unhandled" in x]
+        if errors:
+            logged = "\n".join(run.log[errors[0] : errors[0] + MAX_TRACEBACK_LINES])
+            yield Violation("crash", at_ms, f"{name} logged\n{logged}")
         if run.peak_mb > deployment.memory_mb:
             yield Violation("memory", at_ms, f"{name} took {run.peak_mb:.0f} MB")
         if run.peak_descriptors > deployment.sockets:
--- a/cloverhinge/lab/soak/media.py
+++ b/cloverhinge/lab/soak/media.py
@@ -368,6 +368,9 @@
         answer = self._answer(attempt)
         session = attempt.session
         match kind:
+            case _ if connection.queued is not None:  # nothing can be spoilt in the middle of a message
+                connection.write(answer)
+                self._establish(connection, attempt)
             case Spoiling.HALF:
                 attempt.bodies.clear()
                 connection.write(answer[: self.rng.randrange(1, len(answer))])
@@ -404,8 +407,9 @@
                 self._establish(connection, attempt)
             case Spoiling.PIECES:
                 middle = self.rng.randrange(1, len(answer))
-                connection.write(answer[:middle])
-                self._do(lambda: connection.write(answer[middle:]), self.rng.uniform(5.0, 150.0))
+                connection.write_first_piece(answer[:middle])
+                delay_ms = self.rng.uniform(5.0, 150.0)
+                self._do(lambda: connection.write_last_piece(answer[middle:]), delay_ms)
                 self._establish(connection, attempt)
         connection.attempts.pop(session, None)
         self._end(attempt, AttemptEnd.ANSWERED)
--- a/cloverhinge/lab/soak/wire.py
+++ b/cloverhinge/lab/soak/wire.py
@@ -31,6 +31,7 @@
         self.buffer = bytearray()
         self.first_byte_ms = 0.0
         self.open = False
+        self.queued: list[bytes] | None = None  # what is written while a message is sent in pieces
 
     def connection_made(self, transport: Any) -> None:
         """The connection is open."""
@@ -77,9 +78,22 @@
 
     def write(self, data: bytes) -> None:
         """Write, unless the connection has ended."""
-        if self.open and not self.transport.is_closing():
+        if self.queued is not None:
+            self.queued.append(data)
+        elif self.open and not self.transport.is_closing():
             self.transport.write(data)
 
+    def write_first_piece(self, data: bytes) -> None:
+        """Write part of a message; what follows is queued until `write_last_piece`."""
+        self.write(data)
+        self.queued = self.queued or []
+
+    def write_last_piece(self, data: bytes) -> None:
+        """Write the rest of the message, and what was queued meanwhile."""
+        queued, self.queued = self.queued or [], None
+        for piece in (data, *queued):
+            self.write(piece)
+
     def reset(self) -> None:
         """End the connection with a TCP reset."""
         if self.open:
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -13,7 +13,7 @@
 
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.deadlines import Deadlines
-from cloverhinge.core.model import ServerPort, State
+from cloverhinge.core.model import Presence, ServerPort, State
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.discovery.updates import server_number
@@ -244,13 +244,14 @@
 
         It goes to the session's connection, else to the connection of the client's host that sent a message
         last, else to any connection that sent one last.  Connections without a complete message are excluded,
-        as they may not be a client's.  Without any connection the message is stored for a later one.
+        as they may not be a client's, and so are those whose client has closed them, though that may not have
+        been read yet.  Without any connection the message is stored for a later one.
         """
         connection = self.connections.get(client.connection_handle)
-        if connection is None or connection.gone:
-            candidates = [x for x in self.connections if x.has_sent_message and not x.gone]
-            candidates.sort(key=lambda x: (x.peer == client.peer, x.last_message_ms))
-            connection = candidates[-1] if candidates else None
+        if connection is None or connection.presence() is Presence.GONE:
+            candidates = [x for x in self.connections if x.has_sent_message]
+            candidates.sort(key=lambda x: (x.peer == client.peer, x.last_message_ms), reverse=True)
+            connection = next((x for x in candidates if x.presence() is not Presence.GONE), None)
         target = "none" if connection is None else f"{connection.handle:x}"
         self.router.request_log.request(client.session_id, "end told", connection=target)
         if connection is not None:
