--- a/Makefile
+++ b/Makefile
@@ -23,5 +23,6 @@
 	.venv-dev/bin/mypy
 	.venv-dev/bin/lint-imports --no-cache
 	.venv-dev/bin/python -m tests.known_red
-	.venv-dev/bin/python -m pytest -m "not herd"
+	.venv-dev/bin/python -m pytest -m "not herd and not soak"
+	.venv-dev/bin/python -m pytest -m soak -n 3
 	.venv-dev/bin/python -m pytest -m herd -n 0
