Router: a request that ends late because the process has too little time is no broken invariant

The answer is in time, 25 ms before the client stops waiting: nothing is broken. Change: the deadlines note when a call came 10 ms late or more, and the invariant holds a second after that; without such a delay it is as strict as before. The release build answered before, too, and counted a defect. The test failed before (assertion).

--- a/cloverhinge/core/deadlines.py
+++ b/cloverhinge/core/deadlines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -10,6 +11,9 @@
 from cloverhinge.core.clock import Clock
 
 DeadlineKey = tuple[float, int]
+LATE_MS = (
+    10.0  # a call that comes this much after its time shows that the process is overloaded or was paused
+)
 
 
 class Timer(Protocol):
@@ -36,6 +40,7 @@
         self._timer: Timer | None = None
         self._timer_at = 0.0
         self._running = False
+        self._late_ms = -math.inf  # when a call was late last
 
     def __len__(self) -> int:
         return len(self._due)
@@ -62,6 +67,8 @@
         self._timer, self._running = None, True
         try:
             now = self.clock.now()
+            if self._due and now - self._due.peekitem(0)[0][0] >= LATE_MS:
+                self._late_ms = now
             last = self._count
             for key in list(self._due.irange(maximum=(now, last))):
                 call = self._due.pop(key, None)  # an earlier call may have cancelled it
@@ -71,6 +78,10 @@
             self._running = False
             self._update_timer()
 
+    def late_within(self, ms: float) -> bool:
+        """Whether a call came late in the last `ms` milliseconds, as the process had too little time."""
+        return self.clock.now() - self._late_ms <= ms
+
     def _update_timer(self) -> None:
         if self._call_later is None or self._running:
             return
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -40,6 +40,7 @@
 
 ANSWER_MARGIN_MS = 60.0  # an answer is sent at least this long before the client stops waiting
 OVERDUE_MARGIN_MS = 25.0  # a request that is still open is failed this long before the client stops waiting
+OVERLOAD_MS = 1000.0  # a late call of the last second shows that the process has too little time
 # Retry-after for a request whose prepared record could not be replicated: by then, other routers have taken
 # over the share of a lost one.
 UNREPLICATED_RETRY_MS = 1000.0
@@ -569,7 +570,8 @@
         """Fail a request that is still open shortly before its client stops waiting, whatever the reason."""
         request.deadline = None
         if request.state is State.OPEN:
-            check_invariant(False, "answered before its time is up")
+            # Where the process had too little time, the end of the last attempt may have come late.
+            check_invariant(self.deadlines.late_within(OVERLOAD_MS), "answered before its time is up")
             self._fail(request.handle)
             self.dispatch(api.ViewerLeft(request.handle))
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -301,3 +301,27 @@
     set_up = SetUpRequest("f" * 16, "film", "t", 0, 6, 2, 3000.0)
     assert harness.router.open_request(set_up, harness, harness) is None, "refused at once"
     assert harness.router.counters.refused == 1
+
+
+# Guards against a request without an answer, or a broken invariant, where the process has too little time.
+def test_a_request_is_failed_in_time_though_the_process_is_late() -> None:
+    harness = Stand()
+    request = harness.take("paid", wait_ms=3000.0)
+    assert harness.router.may_write(harness.sent[0])
+    before = dict(invariants.violations)
+    harness.pass_ms(2980.0)  # the attempt's end and the request's are due in one turn
+    assert request.state is State.OVER and harness.finals() == ["failed"]
+    assert dict(invariants.violations) == before
+
+
+# Guards against late calls that go unnoticed, and against prompt ones that are taken for late.
+def test_a_late_call_is_noted_for_a_while() -> None:
+    clock = ManualClock(0.0)
+    deadlines = Deadlines(clock)
+    for ms, late in ((5.0, False), (50.0, True)):
+        deadlines.after(10.0, lambda: None)
+        clock.advance(10.0 + ms)
+        deadlines.run()
+        assert deadlines.late_within(100.0) is late
+    clock.advance(101.0)
+    assert not deadlines.late_within(100.0)
