Node: signals during the interpreter's exit have no effect

Cause: the interpreter restores the default action of signals with a handler when it exits. They are ignored before it does. The test sends SIGHUP, or SIGTERM, without a break from the end of the main loop on; it failed before with code -1 and -15.

--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -487,4 +487,7 @@
 
     reactor.callWhenRunning(begin)
     reactor.run()
+    # The interpreter's exit restores the default actions of handled signals, not those of ignored ones.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
     return 1 if failures else 0
--- a/tests/test_shutdown_kill.py
+++ b/tests/test_shutdown_kill.py
@@ -250,6 +250,17 @@
         process.stderr.close()
 
 
+# Guards against a signal that ends the process by its default action while the interpreter exits.
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_during_the_exit_has_no_effect(tmp_path: Path, number: signal.Signals) -> None:
+    with running_program(tmp_path, 1) as (program, _, _log):
+        program.process.send_signal(signal.SIGTERM)
+        program.wait_for("Main loop terminated")
+        while program.process.poll() is None:
+            program.process.send_signal(number)
+        assert program.process.returncode == 0
+
+
 # Guards against a refusal, which says that nothing ran, of a paid set-up that may have run, before the kill.
 def test_paid_set_ups_out_at_a_hung_server_fail_before_the_kill_and_repeatable_ones_are_refused(
     tmp_path: Path,
