Node: the HLS front is a component of its own in hls/component.py

Need: node.py had grown to 500 lines and wired the HLS front, its listeners and certificates by hand, with five attributes of type Any that were None while it is off. No behaviour changes: the 61 tests of HLS, certificates, admission over HLS, ownership on real processes, README and example pass.

--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -30,7 +30,7 @@
 from cloverhinge.rtsp.front import RtspFrontend
 from cloverhinge.rtsp.media_servers import MediaServers
 from cloverhinge.shutdown import Hooks, Phase, Shutdown
-from cloverhinge.site import AcmeSettings, HlsSettings, Site
+from cloverhinge.site import HlsSettings, Site
 
 CATCH_UP_TIMEOUT_MS = (
     3000.0  # a change log that sends nothing for this long is not waited for; 6 s are allowed
@@ -105,7 +105,7 @@
             Hooks(
                 listeners=self._listeners,
                 closed=self._listeners_closed,
-                close_idle=lambda: 0 if self.hls_connections is None else self.hls_connections.close_idle(),
+                close_idle=lambda: 0 if self.hls is None else self.hls.close_idle(),
                 answer=self._answer,
                 owns=lambda: self.ownership is not None and self.ownership.busy,
                 ended=self._ended,
@@ -113,11 +113,7 @@
             ),
         )
         self.rtsp_listener: Any = None
-        self.hls_listeners: list[Any] = []
-        self.hls_front: Any = None  # if it is on
-        self.hls_connections: Any = None  # the factory of its clients' connections
-        self.plays: Any = None  # of the HLS front, if it is on
-        self.certificate_renewal: Any = None  # if certificates are obtained by ACME
+        self.hls: Any = None  # if the HLS front is on, once it has been started
         self.admission: Any = None  # if admission control is on
         if site.admission is not None:
             from cloverhinge.admission.gateway import (
@@ -220,7 +216,7 @@
                 "{name}: admin on 127.0.0.1:{port}", name=self.config.name, port=admin.getHost().port
             )
         if self.site.hls is not None:
-            self._start_hls(self.site.hls, self.site.acme)
+            self._start_hls(self.site.hls)
         for component in self.components:
             component.start()
         if self.operations is not None:
@@ -237,7 +233,7 @@
         capacity = sum(
             router.settings.places_by_kind.get(listing.kind, 0) for listing in router.listings.values()
         )
-        hls_hosts = [listener.getHost() for listener in self.hls_listeners]
+        hls_hosts = [] if self.hls is None else [listener.getHost() for listener in self.hls.listeners]
         self.members.publish(
             {
                 "version": __version__,
@@ -250,87 +246,24 @@
         )
         self.deadlines.after(PUBLISH_PERIOD_MS, self._publish)
 
-    def _start_hls(self, site: HlsSettings, acme: AcmeSettings | None) -> None:
-        from cloverhinge.hls import connections, front, plays  # loaded only if the HLS front is on
-        from cloverhinge.hls.media_servers import HlsServers
+    def _start_hls(self, settings: HlsSettings) -> None:
+        from cloverhinge.hls.component import HlsComponent  # loaded only if the HLS front is on
 
-        hls_servers = HlsServers(
+        self.hls = HlsComponent(
             reactor,
+            self.config,
+            settings,
+            self.site.acme,
             self.router,
             self.deadlines,
-            self.config.connect_ms,
             self.servers,
-            site.server_port,
-            site.server_addresses,
-            site.max_manifest_bytes,
+            self.admission,
+            self.ownership,
         )
-        table = self.plays = plays.Plays(self.router, hls_servers, self.deadlines, site.idle_ms)
-        root = front.HlsFront(
-            site,
-            self.router,
-            hls_servers,
-            table,
-            self._proof,
-            None if self.admission is None else self.admission.clients.identify,
-        )
-        if self.ownership is not None:
-            from cloverhinge.hls.replicated_plays import ReplicatedPlays
-
-            ReplicatedPlays(self.ownership, table, hls_servers, site)
-        host, port = site.listen
-        http_factory = connections.make_factory(root, self.config.sockets // 4, self.deadlines)
-        self.hls_front, self.hls_connections = root, http_factory
-        listener = reactor.listenTCP(port, http_factory, backlog=BACKLOG, interface=host)
-        self.hls_listeners.append(listener)
-        self.log.info(
-            "{name}: HLS on {host}:{port}, {titles} titles",
-            name=self.config.name,
-            host=host,
-            port=listener.getHost().port,
-            titles=len(site.titles),
-        )
-        if acme is not None:
-            self._start_acme(acme, http_factory)
-
-    def _start_acme(self, site: AcmeSettings, http_factory: Any) -> None:
-        from cloverhinge.acme.renewal import CertificateRenewal
-
-        def ready() -> None:
-            if self.stopping:
-                return
-            listener = reactor.listenSSL(
-                site.listen[1],
-                http_factory,
-                self.certificate_renewal.live,
-                backlog=BACKLOG,
-                interface=site.listen[0],
-            )
-            self.hls_listeners.append(listener)
-            self.log.info(
-                "{name}: HLS over TLS on {host}:{port}",
-                name=self.config.name,
-                host=site.listen[0],
-                port=listener.getHost().port,
-            )
-
-        self.certificate_renewal = CertificateRenewal(
-            site, self.deadlines, reactor.callFromThread, ready, random.Random(self.config.seed)
-        )
-        self.certificate_renewal.start()
-
-    def _proof(self, token: str) -> str | None:
-        """The answer to an ACME challenge, if one with this token is pending."""
-        return None if self.certificate_renewal is None else self.certificate_renewal.proofs.get(token)
+        self.hls.start(is_stopping=lambda: self.stopping)
 
     def status(self) -> dict[str, Any]:
         """The router's status, as values of JSON."""
-        certificate = None
-        if self.certificate_renewal is not None:
-            certificate = {
-                "domains": list(self.certificate_renewal.settings.domains),
-                "expires_ms": self.certificate_renewal.expires_ms,
-                "error": self.certificate_renewal.error,
-            }
         return (
             snapshot(
                 self.config.name,
@@ -338,8 +271,8 @@
                 self.media_servers,
                 self.servers,
                 self.started_ms,
-                certificate,
-                len(self.plays.table) if self.plays is not None else 0,
+                None if self.hls is None else self.hls.certificate_status(),
+                0 if self.hls is None else self.hls.play_count,
                 self.admission.status() if self.admission is not None else [],
             )
             | {component.key: component.status() for component in self.components}
@@ -435,19 +368,20 @@
         )
 
     def _listeners(self) -> list[Any]:
-        return [port for port in (self.rtsp_listener, *self.hls_listeners) if port is not None]
+        hls_listeners = [] if self.hls is None else self.hls.listeners
+        return [port for port in (self.rtsp_listener, *hls_listeners) if port is not None]
 
     def _listeners_closed(self) -> None:
         if self.admission is not None:
             self.admission.close()
-        if self.hls_front is not None:
-            self.hls_front.closing = True
+        if self.hls is not None:
+            self.hls.begin_close()
 
     def _answer(self) -> None:
         if self.ownership is not None:
             self.ownership.send_answers()
-        if self.hls_front is not None:
-            self.hls_front.refuse_fetches()
+        if self.hls is not None:
+            self.hls.refuse_fetches()
 
     def _ended(self) -> None:
         if self.operations is not None:
