Core: the listed media servers and their maintenance mode in a module of their own

Need: core/router.py has grown large. What is listed, and what maintenance mode makes of it, is pure and stands in core/server_listings.py; the router applies the result. No behaviour changes: tests of operations, lists, rules and core pass.

--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 from cloverhinge.core.deadlines import DeadlineKey
-from cloverhinge.decision.interface import Outcome, ServerListing, ServiceClass
+from cloverhinge.decision.interface import Outcome, ServiceClass
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,14 +145,6 @@
         self.outcomes[outcome.value] = self.outcomes.get(outcome.value, 0) + 1
 
 
-@dataclass(slots=True)
-class MaintenanceEntry:
-    """A media server in maintenance mode: since when, and its current listing (None if it is not listed)."""
-
-    since_us: int
-    listing: ServerListing | None
-
-
 class ClientPort(Protocol):
     """Towards the client that sent a set-up request.
 
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -8,8 +8,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import replace
+from collections.abc import Callable, Iterable
 
 from twisted.logger import Logger
 
@@ -22,7 +21,6 @@
     Cause,
     ClientPort,
     Counters,
-    MaintenanceEntry,
     OwnershipPort,
     Presence,
     Prober,
@@ -33,9 +31,10 @@
     Tally,
 )
 from cloverhinge.core.request_log import RequestLog
+from cloverhinge.core.server_listings import ServerListings
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.decision import interface as api
-from cloverhinge.decision.interface import Effect, Health, Outcome
+from cloverhinge.decision.interface import Effect, Outcome
 from cloverhinge.decision.logic import Controller
 
 ANSWER_MARGIN_MS = 60.0  # an answer is sent at least this long before the client stops waiting
@@ -77,8 +76,9 @@
         self.by_session_id: dict[str, Request] = {}
         self.by_title: dict[str, set[Request]] = {}
         self.established: dict[int, dict[int, Request]] = {}  # by server, then by handle
-        self.listings: dict[int, api.ServerListing] = {}  # servers in maintenance mode are listed as draining
-        self.maintenance: dict[int, MaintenanceEntry] = {}  # servers that an operator put in maintenance mode
+        self.servers = ServerListings()
+        self.listings = self.servers.listings  # servers in maintenance mode are listed as draining
+        self.maintenance = self.servers.maintenance  # servers that an operator put in maintenance mode
         self.counters = Counters({class_name: Tally() for class_name in self.classes})
         self.request_log = RequestLog()
         self.prober: Prober | None = None
@@ -380,8 +380,7 @@
 
     def sendable(self, server: int) -> bool:
         """Whether new set-ups may be sent to this media server: it is listed and ready."""
-        listing = self.listings.get(server)
-        return listing is not None and listing.health is Health.READY
+        return self.servers.is_ready(server)
 
     def may_write(self, attempt: Attempt) -> bool:
         """Whether an attempt may be sent; called right before its first byte is written.
@@ -669,58 +668,25 @@
 
         Servers in maintenance mode drain, whatever the list says.
         """
-        effective = tuple(self._apply_maintenance(kind, tuple(listings)))
-        lost: set[int] = set()
-        if kind is not api.ListKind.DELTA:
-            lost = self.listings.keys() - {listing.server for listing in effective}
-        for listing in effective:
-            if listing.health is Health.GONE:
-                lost.add(listing.server)
-            else:
-                self.listings[listing.server] = listing
-        for server in lost:
-            self.listings.pop(server, None)
+        effective, lost = self.servers.update(kind, tuple(listings))
         self.dispatch(api.FleetUpdate(kind, effective))
         for server in lost:
             self.cut_all(server)
         if self.admission is not None:
             self.admission.fleet_changed()
 
-    def _apply_maintenance(
-        self, kind: api.ListKind, listings: tuple[api.ServerListing, ...]
-    ) -> Iterator[api.ServerListing]:
-        if kind is not api.ListKind.DELTA:
-            for entry in self.maintenance.values():
-                entry.listing = None
-        for listing in listings:
-            if (current := self.maintenance.get(listing.server)) is not None:
-                current.listing = None if listing.health is Health.GONE else listing
-                if listing.health is Health.READY:
-                    listing = replace(listing, health=Health.DRAINING)
-            yield listing
-
     def start_maintenance(self, server: int, since_ms: float) -> None:
         """Put a media server in maintenance mode: like a draining one, it gets no new sessions until the mode
         ends.  `since_ms` is the Unix time of the operator's call, which another process may have received."""
-        if server not in self.maintenance:
-            listing = self.listings.get(server)
-            self.maintenance[server] = MaintenanceEntry(to_us(since_ms), listing)
-            if listing is not None:
-                self.update_fleet(api.ListKind.DELTA, (listing,))
+        listing = self.servers.start_maintenance(server, to_us(since_ms))
+        if listing is not None:
+            self.update_fleet(api.ListKind.DELTA, (listing,))
 
     def end_maintenance(self, server: int) -> None:
-        """End a media server's maintenance mode: it is as the list has it, and nothing learned of it remains.
-
-        Its start time is the listed one if that is later than the start of the maintenance, else now: a
-        server that is taken for warm while it is cold would be overloaded and fail.
-        """
-        entry = self.maintenance.pop(server, None)
-        if entry is not None and entry.listing is not None:
-            listed_us = entry.listing.started_us
-            started_us = listed_us if listed_us >= entry.since_us else to_us(self.clock.now())
-            self.update_fleet(
-                api.ListKind.DELTA, (replace(entry.listing, started_us=started_us, after_maintenance=True),)
-            )
+        """End a media server's maintenance mode: it is as listed, and nothing learned of it remains."""
+        listing = self.servers.end_maintenance(server, to_us(self.clock.now()))
+        if listing is not None:
+            self.update_fleet(api.ListKind.DELTA, (listing,))
 
     def probed(self, server: int, outcome: Outcome, took_ms: float, report: api.LoadReport | None) -> None:
         """A probe has ended after `took_ms`; `report` is the load that the media server reported, if any."""
--- a/tests/operations_guards.py
+++ b/tests/operations_guards.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from cloverhinge.core.router import Router
+from cloverhinge.core.server_listings import ServerListings
 from cloverhinge.decision.state import Limit, Server
 from cloverhinge.discovery.watch import DiscoveryWatch
 from cloverhinge.operations import component
@@ -18,7 +19,7 @@
 
 
 def ignore_maintenance() -> None:
-    Router._apply_maintenance = lambda self, kind, listings: iter(listings)  # type: ignore[method-assign]
+    ServerListings._apply_maintenance = lambda self, kind, listings: iter(listings)  # type: ignore[method-assign]
 
 
 def block_on_accept() -> None:
