--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -4,11 +4,14 @@
 
 import json
 import resource
+import threading
 import time
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from cloverhinge.lab.harness import (
     TIMEOUT_S,
     FakeChangeLog,
@@ -19,6 +22,9 @@
     send_set_up,
 )
 
+FAILED_CALL_LIMIT_S = (
+    6.0  # after a failed call, an event counts as received this long after it could be reached
+)
 LIMIT_S = 4.0  # events that a silent log withholds count as received this long after its silence began
 DRAIN_GRACE_S = 0.25
 
@@ -32,6 +38,21 @@
             self.subscriptions.put((int(words[1]), wire))
 
 
+class FaultyLog(FakeChangeLog):
+    """Answers no call, or only with half a line, until `well` is set."""
+
+    def __init__(self, port: int = 0, half_a_line: bool = False) -> None:
+        self.half_a_line, self.well = half_a_line, threading.Event()
+        super().__init__(port)
+
+    def serve(self, connection: RtspConnection) -> None:
+        if self.well.is_set():
+            super().serve(connection)
+        elif self.half_a_line and connection.reader.readline():
+            with suppress(OSError):
+                connection.sock.sendall(b'{"seq":2,"fl')
+
+
 def line(value: Any) -> bytes:
     return json.dumps(value).encode() + b"\n"
 
@@ -185,3 +206,31 @@
         assert read_answer(client, "TEARDOWN").headers["reason"] == "cause=41"
         assert served(client, 2, "title") == 200 and len(server.set_up_sessions) == 2
         later.stop()
+
+
+# Guards against a watch that, after failed calls, takes longer than is allowed to learn of a drain.
+@pytest.mark.parametrize("seconds", [0.4, 4.0])
+@pytest.mark.parametrize("fault", ["refused", "silent", "stalled in a line"])
+def test_a_drain_near_the_return_of_discovery_is_followed_in_time(
+    tmp_path: Path, fault: str, seconds: float
+) -> None:
+    log: FakeChangeLog = FaultyLog(half_a_line=fault == "stalled in a line")
+    with running_program(tmp_path, change_log=log) as (program, servers, _), ExitStack() as stack:
+        port = stack.enter_context(log.stopped(reset=True)) if fault == "refused" else 0
+        threading.Event().wait(seconds)  # the length of the fault
+        drain = [servers[0].list_entry("leaving")]
+        returned_s = time.monotonic()
+        if fault == "refused":
+            back = FakeChangeLog(port)
+            stack.callback(back.stop)
+            back.events = log.events
+            back.append_event(drain)
+        else:
+            assert isinstance(log, FaultyLog)
+            log.append_event(drain)
+            log.well.set()
+        program.wait_for("list 2")
+        assert time.monotonic() - returned_s < FAILED_CALL_LIMIT_S
+        client = program.connect()
+        assert served(client, 1, "title") == 200
+        assert not servers[0].set_up_sessions and len(servers[1].set_up_sessions) == 1
