Soak: a signal to a process that is just ending does not lose its exit code

Seen in trials: `Unknown child process pid N, will report returncode 255`, which the checks would report as a crash. Cause: sending a signal through the subprocess object asks for the process's state first, and that call took the exit code from asyncio's waiting thread. The signal is sent by the process's id now, while the process is known to run.

--- a/cloverhinge/lab/soak/processes.py
+++ b/cloverhinge/lab/soak/processes.py
@@ -111,8 +111,7 @@
         if self.process is None or not self.running or self.run is None:
             return
         now = self.seen.now()
-        with suppress(ProcessLookupError):
-            self.process.send_signal(number)
+        self._send(number)
         self.seen.fault(f"{self.name} {number.name}")
         if number is signal.SIGTERM and self.run.terminated_ms is None:
             self.run.terminated_ms = now
@@ -120,6 +119,13 @@
             self.run.killed_ms = now
             self.run.planned_kill = self.run.terminated_ms is None
 
+    def _send(self, number: signal.Signals) -> None:
+        """Send a signal without asking for the process's state, which would take its exit code from
+        asyncio."""
+        if self.process is not None:
+            with suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
+
     def reload(self) -> None:
         """Write the configuration with the present address of the change log, and send SIGHUP."""
         self._write_configuration()
@@ -127,9 +133,8 @@
 
     async def stop(self) -> None:
         """Kill the process if it runs, and wait for its end."""
-        if self.running and self.process is not None:
-            with suppress(ProcessLookupError):
-                self.process.kill()
+        if self.running:
+            self._send(signal.SIGKILL)
         for task in self._tasks:
             await task
         self.change_log.stop()
