--- a/cloverhinge/lab/soak/processes.py
+++ b/cloverhinge/lab/soak/processes.py
@@ -106,7 +106,7 @@
                     run.peak_mb = max(run.peak_mb, int(peak[1]) / 1024.0)
                 await asyncio.sleep(SAMPLE_S)
 
-    def signal(self, number: signal.Signals) -> None:
+    def send_signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         if self.process is None or not self.running or self.run is None:
             return
@@ -120,8 +120,7 @@
             self.run.planned_kill = self.run.terminated_ms is None
 
     def _send(self, number: signal.Signals) -> None:
-        """Send a signal without asking for the process's state, which would take its exit code from
-        asyncio."""
+        """Send a signal without asking for the process's state, which would take its exit code."""
         if self.process is not None:
             with suppress(ProcessLookupError):
                 os.kill(self.process.pid, number)
@@ -129,7 +128,7 @@
     def reload(self) -> None:
         """Write the configuration with the present address of the change log, and send SIGHUP."""
         self._write_configuration()
-        self.signal(signal.SIGHUP)
+        self.send_signal(signal.SIGHUP)
 
     async def stop(self) -> None:
         """Kill the process if it runs, and wait for its end."""
--- a/cloverhinge/lab/soak/trial.py
+++ b/cloverhinge/lab/soak/trial.py
@@ -206,13 +206,13 @@
     async def _shut_down(self, router: RouterProcess, again_s: float | None = None) -> None:
         """SIGTERM, for some a second time, and SIGKILL at the protocol's earliest."""
         kill_s = self.deployment.kill_ms / 1000.0
-        router.signal(signal.SIGTERM)
+        router.send_signal(signal.SIGTERM)
         if again_s is not None:
-            asyncio.get_running_loop().call_later(again_s, router.signal, signal.SIGTERM)
+            asyncio.get_running_loop().call_later(again_s, router.send_signal, signal.SIGTERM)
         with suppress(TimeoutError):
             await asyncio.wait_for(router.ended.wait(), kill_s)
         if router.running:
-            router.signal(signal.SIGKILL)
+            router.send_signal(signal.SIGKILL)
             await asyncio.wait_for(router.ended.wait(), KILL_WAIT_S)
 
     async def _kills(self, rng: random.Random) -> None:
@@ -222,7 +222,7 @@
             if self.ending or len(running) < 2:
                 continue
             router = rng.choice(running)
-            router.signal(signal.SIGKILL)
+            router.send_signal(signal.SIGKILL)
             await asyncio.wait_for(router.ended.wait(), KILL_WAIT_S)
             await asyncio.sleep(rng.uniform(0.2, 0.8))
             if not self.ending and not router.running:
