--- a/cloverhinge/core/clock.py
+++ b/cloverhinge/core/clock.py
@@ -26,6 +26,7 @@
         self.time = now
 
     def now(self) -> float:
+        """The time to which the clock was last moved."""
         return self.time
 
     def advance(self, ms: float) -> None:
--- a/cloverhinge/lab/soak/clients.py
+++ b/cloverhinge/lab/soak/clients.py
@@ -46,9 +46,11 @@
         self.client, self.record = client, seen
 
     def received(self, message: Message, first_byte_ms: float, whole_ms: float) -> None:
+        """Pass an answer or a release on."""
         self.client.received(self, message, whole_ms)
 
     def unreadable(self) -> None:
+        """Note it for all open set-ups, as it may be the answer to any, and end the connection."""
         for request in self.record.requests:
             request.unreadable = request.unreadable or request.status == 0
         self.reset()
@@ -59,6 +61,7 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended, by the router unless its client noted the end before."""
         super().connection_lost(exc)
         self.ended(Closer.ROUTER)
 
--- a/cloverhinge/lab/soak/media.py
+++ b/cloverhinge/lab/soak/media.py
@@ -142,10 +142,12 @@
         self.releases: list[AttemptSeen] = []  # sent on this connection
 
     def connection_made(self, transport: Any) -> None:
+        """The connection is open."""
         super().connection_made(transport)
         self.server.connection_opened(self)
 
     def received(self, message: Message, first_byte_ms: float, whole_ms: float) -> None:
+        """Pass a message of the router on."""
         self.server.received(self, message, first_byte_ms, whole_ms)
 
     def eof_received(self) -> bool:
@@ -154,6 +156,7 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended, with what is under way on it."""
         super().connection_lost(exc)
         self.server.connection_lost(self)
 
