RTSP front: a release that its connection can't carry any more is sent on another one

Callers saw: a session's end not told to a client whose connection ended at that moment, or had been half-closed by a shutdown, though it had another connection. Change: a half-closed connection is passed over, and what was sent in the last 100 ms before a connection's end (twice the protocol's 50 ms for what crosses) is sent again elsewhere; a second release of a session that is over has no effect at a client.

--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.protocol import connectionDone
@@ -19,10 +21,20 @@
 FIRST_MESSAGE_TIMEOUT_MS = (
     2500.0  # from accepting a connection to its first complete message; closed afterwards
 )
+MAX_DELIVERIES = 64  # messages remembered for the case that the connection ends right after them
 MAX_FINAL_READS = 16  # of a connection's input before it is closed at the end of a shutdown
 PARTIAL_MESSAGE_TIMEOUT_MS = 2000.0  # from the first byte of a message to its last; closed afterwards
 
 
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """A message about an established session that was sent to its client."""
+
+    sent_ms: float
+    client: RtspClient
+    data: bytes
+
+
 class ClientConnection(messages.RtspProtocol):
     """A connection from one or more clients."""
 
@@ -40,6 +52,7 @@
         self.last_message_ms = 0.0  # when its last complete message was received
         self.half_closed_ms: float | None = None  # when it was half-closed
         self.partial_since_ms: float | None = None  # when the incomplete message began
+        self.deliveries: deque[Delivery] = deque(maxlen=MAX_DELIVERIES)  # the latest
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -108,6 +121,11 @@
             return Presence.GONE
         return Presence.UNREAD if unread else Presence.PRESENT
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether the client can still be sent something, as far as the connection shows."""
+        return self.half_closed_ms is None and self.presence() is not Presence.GONE
+
     def log_event(self, event: str, **details: object) -> None:
         """Log an event of this connection, where requests are logged."""
         self.front.router.request_log.connection(f"{self.peer} ({self.handle:x})", event, **details)
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -13,13 +13,13 @@
 
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.deadlines import Deadlines
-from cloverhinge.core.model import Presence, ServerPort, State
+from cloverhinge.core.model import ServerPort, State
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.discovery.updates import server_number
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.client import RtspClient
-from cloverhinge.rtsp.client_connection import ClientConnection
+from cloverhinge.rtsp.client_connection import ClientConnection, Delivery
 from cloverhinge.rtsp.intake import ReceivedSetUp, SetUpScheduler
 from cloverhinge.rtsp.set_up import parse_set_up
 
@@ -27,6 +27,7 @@
 MAX_EVICTION_CANDIDATES = 16  # connections of one rank examined to close one of them
 CLOSING_SHARE = 1 / 3  # of the table's size: connections still closing, in addition to a full table
 FIRST_SET_UP_GRACE_MS = 200.0  # a new connection's first set-up may still be on its way
+CROSSING_MS = 100.0  # a message sent this shortly before a connection's end may not have reached its client
 HALF_CLOSED_GRACE_MS = 100.0  # data sent before the client sees the half-close arrives within this time
 UNDELIVERED_TTL_MS = 8000.0  # how long a release waits for a connection from a client
 MAX_UNDELIVERED = 2048  # releases that wait; beyond it the oldest is discarded
@@ -129,6 +130,14 @@
             if request.state is State.OPEN:
                 self.router.viewer_left(request)
         connection.unanswered.clear()
+        self._deliver_again(connection)
+
+    def _deliver_again(self, connection: ClientConnection) -> None:
+        """Deliver on another connection what may have crossed the close of this one."""
+        since_ms = self.clock.now() - CROSSING_MS
+        for delivery in connection.deliveries:
+            if delivery.sent_ms >= since_ms:
+                self.deliver(delivery.client, delivery.data)
 
     def set_up(self, connection: ClientConnection, received: ReceivedSetUp) -> None:
         """Pass a set-up to the core, or answer it.  Raises MalformedMessage if it is invalid.
@@ -244,18 +253,19 @@
 
         It goes to the session's connection, else to the connection of the client's host that sent a message
         last, else to any connection that sent one last.  Connections without a complete message are excluded,
-        as they may not be a client's, and so are those whose client has closed them, though that may not have
-        been read yet.  Without any connection the message is stored for a later one.
+        as they may not be a client's, and so are those that either side has closed, though the client's close
+        may not have been read yet.  Without any connection the message is stored for a later one.
         """
         connection = self.connections.get(client.connection_handle)
-        if connection is None or connection.presence() is Presence.GONE:
+        if connection is None or not connection.is_writable:
             candidates = [x for x in self.connections if x.has_sent_message]
             candidates.sort(key=lambda x: (x.peer == client.peer, x.last_message_ms), reverse=True)
-            connection = next((x for x in candidates if x.presence() is not Presence.GONE), None)
+            connection = next((x for x in candidates if x.is_writable), None)
         target = "none" if connection is None else f"{connection.handle:x}"
         self.router.request_log.request(client.session_id, "end told", connection=target)
         if connection is not None:
             connection.send(data)
+            connection.deliveries.append(Delivery(self.clock.now(), client, data))
         else:
             self.undelivered.append((self.clock.now(), data))
 
