Log on demand: nothing is computed for a line that is not written

Need: the lines by session must cost nothing by default. Their ages and connection numbers were computed before the flag was looked at.

--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -500,9 +500,9 @@
         return True
 
     def _log(self, request: Request, event: str, **details: object) -> None:
-        self.request_log.request(
-            request.set_up.session_id, event, age_ms=round(self.clock.now() - request.received_ms), **details
-        )
+        if self.request_log.enabled:
+            age_ms = round(self.clock.now() - request.received_ms)
+            self.request_log.request(request.set_up.session_id, event, age_ms=age_ms, **details)
 
     # Final answers
 
--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -128,7 +128,9 @@
 
     def log_event(self, event: str, **details: object) -> None:
         """Log an event of this connection, where requests are logged."""
-        self.front.router.request_log.connection(f"{self.peer} ({self.handle:x})", event, **details)
+        request_log = self.front.router.request_log
+        if request_log.enabled:
+            request_log.connection(f"{self.peer} ({self.handle:x})", event, **details)
 
     def half_close(self) -> None:
         """Close the sending side; data is still read until the client closes too."""
@@ -152,9 +154,11 @@
 
     def received(self, message: messages.Message) -> None:
         self.last_message_ms, self.partial_since_ms = self.front.clock.now(), None
-        self.front.router.request_log.request(
-            message.session_id, message.method or "response", connection=f"{self.handle:x}"
-        )
+        request_log = self.front.router.request_log
+        if request_log.enabled:
+            request_log.request(
+                message.session_id, message.method or "response", connection=f"{self.handle:x}"
+            )
         if not self.has_sent_message:
             self.has_sent_message = True
             self.front.first_message_received(self)
