Node: signals are held back from the reactor's stop on

Seen: test_a_signal_during_the_exit_has_no_effect[15] failed once of some ten runs, with code -15. Cause: the reactor restores the default action of SIGTERM when it stops, before the process ignores it. The signals are blocked when the reactor is stopped, and ignored afterwards as before.

--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -36,6 +36,7 @@
     3000.0  # a change log that sends nothing for this long is not waited for; 6 s are allowed
 )
 BACKLOG = 256
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)  # that the process handles
 PUBLISH_PERIOD_MS = 1000.0  # interval at which the facts for other routers are updated
 
 reactor: Any = _reactor
@@ -109,7 +110,7 @@
                 answer=self._answer,
                 owns=lambda: self.ownership is not None and self.ownership.busy,
                 ended=self._ended,
-                stop=reactor.stop,
+                stop=stop_reactor,
             ),
         )
         self.rtsp_listener: Any = None
@@ -388,6 +389,12 @@
             self.operations.stop()
 
 
+def stop_reactor() -> None:
+    """Stop the reactor; signals are held back from now on, as the reactor restores their default actions."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    reactor.stop()
+
+
 def serve(config: Config, site: Site) -> int:
     """Run a router until SIGTERM or SIGINT; returns the exit status, 1 if it could not start."""
     observer: Any = textFileLogObserver(sys.stderr)
@@ -422,6 +429,6 @@
     reactor.callWhenRunning(begin)
     reactor.run()
     # The interpreter's exit restores the default actions of handled signals, not those of ignored ones.
-    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+    for number in SIGNALS:
         signal.signal(number, signal.SIG_IGN)
     return 1 if failures else 0
