RTSP front: what one reactor iteration begins is bounded, and a set-up that waits is refused in its time

Cause: the 10 ms for beginning set-ups held for one turn, but each connection that was read began a turn of its own, so that an iteration with forty connections took over 100 ms, and all answers are written at its end; and set-ups waiting behind others of their connection had no limit on time at all, so they were begun when their clients had stopped waiting. Change: the 10 ms are counted over an iteration, and every 20 ms set-ups with under 100 ms (or half of a shorter wait) left are refused, which takes a small part of the time that a decision takes. A set-up not begun never ran, so the refusal is allowed. Tests on the manual clock: forty connections in one iteration (began 120 ms of work at once before), 200 set-ups with 300 ms each (would have been begun after their time). The last turn's timer is one more run in the test of turns; its assertions stand.

--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -91,6 +92,20 @@
         if not self.queue.full and not self.gone:
             self._set_paused(False)
 
+    @staticmethod
+    def _wait_ms(message: messages.Message) -> float:
+        """How long a set-up's client waits; without end where it does not say so, which is answered later."""
+        try:
+            return message.number("x-ring-limit", math.inf)
+        except messages.MalformedMessage:
+            return math.inf
+
+    def refuse(self, set_up: ReceivedSetUp) -> None:
+        """Refuse a set-up that has waited to be begun for nearly all of its time."""
+        if not self.gone:
+            self.front.refuse_waiting(self, set_up)
+            self.front.update_rank(self)
+
     def handle_unread_input(self) -> None:
         """Read and begin what has arrived, up to a limit, outside the reactor's turns."""
         transport: Any = self.transport
@@ -170,7 +185,7 @@
             if is_hand_over(message):  # already playing: its later end must reach the server
                 self.front.set_up(self, ReceivedSetUp(message, self.last_message_ms))
             else:
-                self.queue.add(ReceivedSetUp(message, self.last_message_ms))
+                self.queue.add(ReceivedSetUp(message, self.last_message_ms, self._wait_ms(message)))
                 self.front.update_rank(self)
         elif message.method == "TEARDOWN":
             self.queue.cancel(name)
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -179,14 +179,23 @@
             self.router.request_log.request(set_up.session_id, "refused, its id is in use")
             connection.send(messages.encode_response(455, "1", set_up.session_id))
         elif (request := self.router.open_request(set_up, client, self.servers)) is None:
-            connection.send(
-                messages.encode_response(
-                    503, "1", set_up.session_id, {"X-Hold-Off": str(round(BUSY_RETRY_AFTER_MS))}
-                )
-            )
+            self._refuse_busy(connection, set_up.session_id)
         elif request.state is State.OPEN:
             connection.unanswered[set_up.session_id] = request
 
+    def refuse_waiting(self, connection: ClientConnection, received: ReceivedSetUp) -> None:
+        """Refuse a set-up that no time is left to begin."""
+        message = received.message
+        tally = self.router.counters.tallies.get(message.headers.get("x-call-class", ""))
+        if tally is not None:
+            tally.shed += 1
+        self.router.request_log.request(message.session_id, "refused, it has waited too long to be begun")
+        self._refuse_busy(connection, message.session_id)
+
+    def _refuse_busy(self, connection: ClientConnection, session_id: str) -> None:
+        fields = {"X-Hold-Off": str(round(BUSY_RETRY_AFTER_MS))}
+        connection.send(messages.encode_response(503, "1", session_id, fields))
+
     def _reattach(self, connection: ClientConnection, session_id: str, established: bool) -> bool:
         """Attach an established session whose connection is gone to the connection that requests it again.
 
--- a/cloverhinge/rtsp/intake.py
+++ b/cloverhinge/rtsp/intake.py
@@ -2,11 +2,13 @@
 
 Deciding on a set-up takes some milliseconds, and one connection may send hundreds at once.  Each iteration of
 the reactor begins as many as fit into a bounded time, one per connection in turn, so a flood delays the
-set-ups of other connections by about one set-up for each flooding connection.
+set-ups of other connections by about one set-up for each flooding connection.  A set-up that has waited for
+nearly all of its time is refused, so that it is answered in time however many wait.
 """
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from typing import Protocol
@@ -15,16 +17,23 @@
 from cloverhinge.rtsp import messages
 
 MAX_TURN_MS = 10.0  # time for beginning set-ups, a few of them, before other connections are read again
+MIN_REMAINING_MS = 100.0  # of a set-up's time: with less left it is refused instead of begun
+OVERDUE_SCAN_MS = 20.0  # interval at which set-ups with less time left are looked for
 MAX_QUEUED_SET_UPS = 256  # per connection; reading from it is paused until some have begun
 MAX_QUEUED_BYTES = 64 * 1024  # total size of their bodies: as much as is read at once
 
 
 @dataclass(frozen=True, slots=True)
 class ReceivedSetUp:
-    """A set-up request as read, and the time when it was read."""
+    """A set-up request as read, the time when it was read, and how long its client waits from then on."""
 
     message: messages.Message
     read_ms: float
+    wait_ms: float = math.inf
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether too little of its time is left to begin it."""
+        return now > self.read_ms + self.wait_ms - min(MIN_REMAINING_MS, self.wait_ms / 2.0)
 
 
 class SetUpQueue:
@@ -66,6 +75,16 @@
         for set_up in left:
             self.add(set_up)
 
+    def take_overdue(self, now: float) -> list[ReceivedSetUp]:
+        """Remove and return the set-ups that have too little time left."""
+        overdue = [x for x in self._waiting if x.is_overdue(now)]
+        if overdue:
+            left = [x for x in self._waiting if not x.is_overdue(now)]
+            self.clear()
+            for set_up in left:
+                self.add(set_up)
+        return overdue
+
     def clear(self) -> None:
         """Remove all set-ups."""
         self._waiting.clear()
@@ -80,6 +99,9 @@
     def begin(self, set_up: ReceivedSetUp) -> None:
         """Pass the set-up to the core, or answer it."""
 
+    def refuse(self, set_up: ReceivedSetUp) -> None:
+        """Refuse a set-up that has waited too long."""
+
 
 class SetUpScheduler:
     """Begins queued set-ups round-robin.  A source is registered once, while its queue is not empty."""
@@ -89,6 +111,8 @@
         self._sources: deque[SetUpSource] = deque()
         self._registered: set[SetUpSource] = set()
         self._scheduled = False
+        self._used_ms = 0.0  # of MAX_TURN_MS, in the present iteration of the reactor
+        self._next_scan_ms = 0.0
 
     def offer(self, source: SetUpSource) -> None:
         """Register a source whose queue may have become non-empty; begin at once if no other source waits."""
@@ -105,10 +129,12 @@
             source.queue.cancel(session)
 
     def _run_turn(self) -> None:
-        """Begin set-ups in turn until MAX_TURN_MS is over; run again later if some are left."""
+        """Begin set-ups until MAX_TURN_MS of this iteration are used; go on in the next if some are left."""
         self._scheduled = True  # sources offered during this turn are appended
         clock = self.deadlines.clock
-        until_ms = clock.now() + MAX_TURN_MS
+        started_ms = clock.now()
+        self._refuse_overdue(started_ms)
+        until_ms = started_ms + MAX_TURN_MS - self._used_ms
         while self._sources and clock.now() < until_ms:
             source = self._sources.popleft()
             if len(source.queue):
@@ -117,6 +143,19 @@
                 self._sources.append(source)
             else:
                 self._registered.discard(source)
-        self._scheduled = bool(self._sources)
+        self._used_ms += clock.now() - started_ms
+        self._scheduled = bool(self._sources) or self._used_ms >= MAX_TURN_MS
         if self._scheduled:
-            self.deadlines.after(0.0, self._run_turn)
+            self.deadlines.after(0.0, self._next_iteration)
+
+    def _next_iteration(self) -> None:
+        self._used_ms = 0.0
+        self._run_turn()
+
+    def _refuse_overdue(self, now: float) -> None:
+        if now < self._next_scan_ms:
+            return
+        self._next_scan_ms = now + OVERDUE_SCAN_MS
+        for source in self._sources:
+            for set_up in source.queue.take_overdue(now):
+                source.refuse(set_up)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, cast
 
@@ -58,6 +59,9 @@
         self.begun.append(self.name)
         self.clock.advance(self.cost_ms)
 
+    def refuse(self, set_up: ReceivedSetUp) -> None:
+        self.begun.append(f"{self.name} refused")
+
 
 def test_a_normal_request_is_begun_before_the_rest_of_a_flood() -> None:
     """The whole flood has been read when the other request arrives."""
@@ -114,9 +118,41 @@
     assert "normal" in begun[: len(begun)] and begun.index("normal") <= 6
     while len(begun) < 51:
         deadlines.run()
+    deadlines.run()  # the iteration after the last set-up
     assert begun.count("normal") == 1 and not len(deadlines)
 
 
+# Guards against an iteration of the reactor that begins a set-up of each of many connections, at any cost.
+def test_the_turns_of_one_iteration_are_bounded_together() -> None:
+    clock, begun = ManualClock(), list[str]()
+    deadlines = Deadlines(clock)
+    scheduler = SetUpScheduler(deadlines)
+    for number in range(40):
+        scheduler.offer(SlowSource(clock, str(number), 1, begun))
+    assert len(begun) * SlowSource.cost_ms <= MAX_TURN_MS + SlowSource.cost_ms
+    while len(begun) < 40:
+        before = len(begun)
+        deadlines.run()
+        assert 0 < (len(begun) - before) * SlowSource.cost_ms <= MAX_TURN_MS + SlowSource.cost_ms
+    assert begun == [str(number) for number in range(40)]
+
+
+# Guards against set-ups that wait to be begun until their clients have stopped waiting.
+def test_a_set_up_that_has_waited_for_nearly_all_of_its_time_is_refused_in_time() -> None:
+    clock, begun = ManualClock(), list[str]()
+    deadlines = Deadlines(clock)
+    scheduler = SetUpScheduler(deadlines)
+    slow = SlowSource(clock, "slow", 0, begun)
+    for number in range(200):
+        slow.queue.add(replace(message(number), read_ms=clock.now(), wait_ms=300.0))
+    until_ms = clock.now() + 300.0
+    scheduler.offer(slow)
+    while len(begun) < 200:
+        deadlines.run()
+    assert clock.now() < until_ms
+    assert 50 < begun.count("slow") < 80 and begun.count("slow refused") == 200 - begun.count("slow")
+
+
 def test_a_queue_is_bounded_by_set_ups_and_by_bytes_and_drops_cancelled_ones() -> None:
     queue = SetUpQueue()
     for number in range(MAX_QUEUED_SET_UPS):
