--- a/cloverhinge/lab/soak/media.py
+++ b/cloverhinge/lab/soak/media.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import Any
 
-from cloverhinge.lab.harness import Message
+from cloverhinge.lab.harness import Message, reserve_port
 from cloverhinge.lab.soak.observations import AttemptEnd, AttemptSeen, Observations
 from cloverhinge.lab.soak.wire import MessageProtocol, encode
 
@@ -62,6 +62,7 @@
         self.server, self.router = server, router
         self.host, self.port = "127.0.0.1", 0
         self.listener: socket.socket | None = None
+        self.reserved: socket.socket | None = None  # keeps the port while nothing listens
         self.fillers: list[socket.socket] = []
         self.filler_ports: set[int] = set()
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -74,6 +75,12 @@
         self.port = self.listener.getsockname()[1]
         self.listener.setblocking(False)
         self._accept_from_now()
+        self._free_port()
+
+    def _free_port(self) -> None:
+        if self.reserved is not None:
+            self.reserved.close()
+            self.reserved = None
 
     def _accept_from_now(self) -> None:
         assert self.listener is not None
@@ -103,10 +110,16 @@
             asyncio.get_running_loop().remove_reader(self.listener)
             self.listener.close()
             self.listener = None
+            self.reserved = reserve_port(self.host, self.port)
         for filler in self.fillers:
             filler.close()
         self.fillers.clear()
 
+    def stop(self) -> None:
+        """Close the listener for good."""
+        self.close()
+        self._free_port()
+
     def block(self) -> None:
         """Let no new connection come up, until `open`."""
         if self.listener is None:
@@ -419,6 +432,7 @@
 
     def stop(self) -> None:
         """Close everything."""
-        self.refuse()
+        for address in self.addresses.values():
+            address.stop()
         for connection in list(self.connections):
             connection.transport.abort()
