--- a/cloverhinge/lab/soak/processes.py
+++ b/cloverhinge/lab/soak/processes.py
@@ -38,6 +38,7 @@
         self.address: tuple[str, int] | None = None  # where it listens, while it does
         self.ended = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._starting: asyncio.Task[None] | None = None
 
     @property
     def running(self) -> bool:
@@ -63,7 +64,16 @@
         (self.folder / "config.json").write_text(json.dumps(document))
 
     async def start(self) -> None:
-        """Start a new run."""
+        """Start a new run; a caller that is cancelled meanwhile leaves it to `settled`."""
+        self._starting = asyncio.create_task(self._start())
+        await asyncio.shield(self._starting)
+
+    async def settled(self) -> None:
+        """Wait until no start is under way."""
+        if self._starting is not None:
+            await self._starting
+
+    async def _start(self) -> None:
         number = 1 if self.run is None else self.run.number + 1
         self.run = RunSeen(self.name, number, self.seen.now())
         self.seen.runs.append(self.run)
@@ -132,6 +142,7 @@
 
     async def stop(self) -> None:
         """Kill the process if it runs, and wait for its end."""
+        await self.settled()
         if self.running:
             self._send(signal.SIGKILL)
         for task in self._tasks:
--- a/cloverhinge/lab/soak/trial.py
+++ b/cloverhinge/lab/soak/trial.py
@@ -34,6 +34,7 @@
 NEW_CONNECTIONS_MS = 300.0  # clients connect to a stopping router for this long after SIGTERM
 TICK_S = 0.01
 START_TIMEOUT_S = 20.0
+MAX_OVERTIME_S = 60.0  # of a trial, for its start, its last shutdowns and a slow machine
 KILL_WAIT_S = 5.0  # for a killed process to be gone
 
 
@@ -107,6 +108,8 @@
             faults = [asyncio.create_task(x) for x in self._faults()]
             await asyncio.sleep(self.plan.seconds)
             self.ending = True
+            for router in self.routers:
+                await router.settled()
             await asyncio.gather(*(self._shut_down(x) for x in self.routers if x.running))
             for fault in faults:
                 fault.cancel()
@@ -361,5 +364,6 @@
 
 
 async def play_trial(plan: Plan, folder: Path) -> Observations:
-    """Play a trial in a folder of its own and return what was seen."""
-    return await Trial(plan, folder).play()
+    """Play a trial in a folder of its own and return what was seen; TimeoutError if it does not end."""
+    async with asyncio.timeout(plan.seconds + MAX_OVERTIME_S):
+        return await Trial(plan, folder).play()
