--- a/review/standins.py
+++ b/review/standins.py
@@ -409,7 +409,8 @@
         if guess:
             fields["X-Guess"] = guess
         self.record.write(self.name, f"{session} SETUP {class_name} {title} {destination} {guess}")
-        self.writer.write(encode(f"SETUP rtsp://media/{title} RTSP/1.0", 1, session, fields, body or f"{session}\r\n".encode()))
+        described = body or f"{session}\r\n".encode()
+        self.writer.write(encode(f"SETUP rtsp://media/{title} RTSP/1.0", 1, session, fields, described))
 
     def tear_down(self, session: str) -> None:
         self.record.write(self.name, f"{session} TEARDOWN")
@@ -473,7 +474,7 @@
         self.log_path = self.folder / f"log-{time.monotonic_ns()}.txt"
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", command], cwd=ROOT, stdout=subprocess.DEVNULL, stderr=open(self.log_path, "wb"),
-            pass_fds=pass_fds, start_new_session=True,
+            pass_fds=pass_fds,
             env={"PATH": os.environ["PATH"], "LB_NAME": name, "LB_CONFIG": str(path), "LB_LISTEN": f"{HOST}:{self.port}",
                  "TMPDIR": str(tmp), **(environment or {})},
         )  # fmt: skip
@@ -558,11 +559,11 @@
 
 
 class Box:
-    """The HTTP side of a media server.  `run` has each set-up that ran here: its session and title."""
+    """The HTTP side of a media server.  `run` has each set-up that ran here: its session, title and class."""
 
     def __init__(self, record: Record, pump: Pump) -> None:
         self.record, self.pump, self.name = record, pump, f"{pump.id} http"
-        self.run: list[tuple[str, str]] = []
+        self.run: list[tuple[str, str, str]] = []
         self.sessions: dict[str, str] = {}  # title by session, of those that stand
         self.work_ms = 5.0
         self.on_set_up: Callable[[str, dict], None] = lambda session, content: None
@@ -595,7 +596,7 @@
                 return 503, ""
             self.on_set_up(session, content)
             await asyncio.sleep(self.work_ms / 1000.0)
-            self.run.append((session, content["title"]))
+            self.run.append((session, content["title"], content["class"]))
             self.sessions[session] = content["title"]
             return 200, self._manifest(session)
         if method == "DELETE":
@@ -659,3 +660,83 @@
         if time.monotonic() > until:
             raise CannotRun(f"{router.name} did not log {text!r}")
         await asyncio.sleep(0.1)
+
+
+# The network between the routers
+
+
+class _HubPort(asyncio.DatagramProtocol):
+    def __init__(self, network: Network, name: str) -> None:
+        self.network, self.name = network, name
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.network.forward(addr[0], self.name, data)
+
+
+class Network:
+    """The links between routers, each with the same delay in each direction; nothing is lost or overtaken.
+
+    Each router listens on a loopback address of its own and advertises its port here.
+    """
+
+    def __init__(self, names: list[str], delay_ms: float) -> None:
+        self.delay_s = delay_ms / 1000.0
+        self.real = {name: (f"127.0.0.{11 + n}", 0) for n, name in enumerate(names)}
+        for name, (host, _) in self.real.items():
+            with socket.socket() as probe:
+                probe.bind((host, 0))
+                self.real[name] = (host, probe.getsockname()[1])
+        self.ports: dict[str, int] = {}
+        self.hubs: dict[str, _HubPort] = {}
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        for name in self.real:
+            server = await asyncio.start_server(lambda r, w, name=name: self._relay(r, w, name), HOST, 0)
+            self.ports[name] = server.sockets[0].getsockname()[1]
+            _, hub = await loop.create_datagram_endpoint(
+                lambda name=name: _HubPort(self, name), local_addr=(HOST, self.ports[name])
+            )
+            self.hubs[name] = hub
+
+    def forward(self, from_host: str, to: str, data: bytes) -> None:
+        sender = next((x for x, (host, _) in self.real.items() if host == from_host), None)
+        if sender is not None:
+            asyncio.get_running_loop().call_later(
+                self.delay_s, self.hubs[sender].transport.sendto, data, self.real[to]
+            )
+
+    async def _relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to: str) -> None:
+        try:
+            inner_reader, inner_writer = await asyncio.open_connection(*self.real[to])
+        except OSError:
+            writer.transport.abort()
+            return
+
+        async def pump(source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+            try:
+                while data := await source.read(65536):
+                    await asyncio.sleep(self.delay_s)
+                    sink.write(data)
+                if sink.can_write_eof():
+                    sink.write_eof()
+            except (OSError, asyncio.CancelledError):
+                pass
+
+        await asyncio.gather(pump(reader, inner_writer), pump(inner_reader, writer))
+        writer.close()
+        inner_writer.close()
+
+    def site_lines(self, name: str, routers: int) -> str:
+        """The tables [members] and [custody] of a site file."""
+        host, port = self.real[name]
+        join = ", ".join(f'"{HOST}:{self.ports[x]}"' for x in self.real if x != name)
+        return "\n".join(
+            [
+                "[members]", f'listen = "{host}:{port}"', f'advertise = "{HOST}:{self.ports[name]}"',
+                f'key = "{"m" * 40}"', f"join = [{join}]", f'site = "{name}"', "[custody]", f"routers = {routers}",
+            ]
+        )  # fmt: skip
