--- a/review/standins.py
+++ b/review/standins.py
@@ -516,8 +516,12 @@
 
     `case` returns whether the rule held, and a sentence that says why.
     """
-    record = Record(folder / "record.txt")
-    temporary = Path(tempfile.mkdtemp(prefix="review-"))
+    try:
+        record = Record(folder / "record.txt")
+        temporary = Path(tempfile.mkdtemp(prefix="review-"))
+    except OSError as error:
+        print(f"could not run: {error!r}")
+        sys.exit(NOT_RUN)
     record.write("case", f"TROUBLE={int(TROUBLE)}")
     status = NOT_RUN
     try:
@@ -525,7 +529,7 @@
         status = HELD if held else BROKEN
         record.write("case", f"the rule {'held' if held else 'was BROKEN'}: {why}")
         print(f"the rule {'held' if held else 'was BROKEN'}: {why}")
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # whatever goes wrong in the case itself says nothing of the rule
         record.write("case", f"could not run: {error!r}")
         print(f"could not run: {error!r}")
     finally:
