Media servers: a restart ends the sessions from before it, whatever connections come up

Cause: two parts. ServerPool took a connection that came up (the check of a silent server) as a sign that the sessions stand, though it shows only that some process listens; and update_fleet used a listed start time for cold servers alone and cut sessions only at servers that are gone. Class: a local signal taken for what the peer does.

The old connection is never written to, so it is never reset. Ruled out: a late check, a lost change of the list.

Change: sessions established before a server's listed start are cut. The new module server_liveness keeps "can be reached" apart from "is the process that has the sessions"; while discovery is not heard, the old connections are sent a test, and where all are reset the sessions from before are cut 7 s after the last proof. Silence over a pause of this process counts only after a check of its own.

Why it works: the list names each start of a process, and a machine that restarted resets what comes on connections from before; neither depends on the new connection.

--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -87,6 +87,7 @@
     may_have_run: bool = False
     last_outcome: Outcome | None = None
     server: int | None = None  # the media server at which the session is established
+    established_ms: float = 0.0  # when this router learned that it is
     rung: int | None = None  # None = the lowest of the class
     deadline: DeadlineKey | None = None  # at which it is failed if it is still open
 
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -578,6 +578,7 @@
 
     def _establish(self, request: Request, server: int) -> None:
         request.state, request.server = State.ESTABLISHED, server
+        request.established_ms = self.clock.now()
         self.established.setdefault(server, {})[request.handle] = request
         if self.admission is not None:
             self.admission.established(request)
@@ -595,10 +596,11 @@
             self.counters.cut += 1
             self._end(request, Outcome.RESET, None, tell_server=True, tell_client=True)
 
-    def cut_all(self, server: int) -> None:
-        """End all sessions at a lost media server."""
+    def cut_all(self, server: int, established_before_ms: float = math.inf) -> None:
+        """End the sessions at a lost media server that were established before a Unix time."""
         for request in list(self.established.get(server, {}).values()):
-            self.cut(request)
+            if request.established_ms < established_before_ms:
+                self.cut(request)
 
     def _move(self, handle: int) -> None:
         request = self.requests.get(handle)
@@ -666,12 +668,17 @@
     def update_fleet(self, kind: api.ListKind, listings: Iterable[api.ServerListing]) -> None:
         """Apply a list of media servers, or a change of it, and cut the sessions at servers that are gone.
 
+        At a server that has been started anew, the sessions from before its start are cut.
         Servers in maintenance mode drain, whatever the list says.
         """
-        effective, lost = self.servers.update(kind, tuple(listings))
+        rows = tuple(listings)
+        effective, lost = self.servers.update(kind, rows)
         self.dispatch(api.FleetUpdate(kind, effective))
         for server in lost:
             self.cut_all(server)
+        for listing in rows:
+            if listing.started_us and not listing.after_maintenance:
+                self.cut_all(listing.server, established_before_ms=to_ms(listing.started_us))
         if self.admission is not None:
             self.admission.fleet_changed()
 
--- a/cloverhinge/discovery/watch.py
+++ b/cloverhinge/discovery/watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -91,6 +92,7 @@
         self.silence_deadline: DeadlineKey | None = None
         self.retry_deadline: DeadlineKey | None = None
         self.backoff_ms = BACKOFF_MS[0]
+        self.last_line_ms = -math.inf  # when a line was received last
         self.stopped = False
         self.caught_up_callback: tuple[DeadlineKey, Callable[[], None]] | None = None
 
@@ -104,6 +106,12 @@
             self.deadlines.cancel(key)
             call()
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the change log is heard, so that what it knows is known here."""
+        silent_ms = self.deadlines.clock.now() - self.last_line_ms
+        return self.connection is not None and silent_ms <= SILENCE_TIMEOUT_MS
+
     def start(self) -> None:
         """Begin an attempt to connect, unless the watch is stopped."""
         self.retry_deadline = None
@@ -183,6 +191,7 @@
             connection.drop()
             return
         self._restart_silence_timer(SILENCE_TIMEOUT_MS)
+        self.last_line_ms = self.deadlines.clock.now()
         last = value if isinstance(value, int) else value["seq"]
         if isinstance(value, int) or len(value) == 1:  # a heartbeat: the last sequence number alone
             self._heartbeat(connection, last)
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -97,6 +97,7 @@
             self.apply_update,
             random.Random(config.seed),
         )
+        self.media_servers.list_is_current = lambda: self.discovery.is_current
         self.shutdown = Shutdown(
             config.name,
             self.front,
--- a/cloverhinge/rtsp/media_servers.py
+++ b/cloverhinge/rtsp/media_servers.py
@@ -21,6 +21,7 @@
 from cloverhinge.discovery.updates import ServerAddress
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.server_connection import Probe
+from cloverhinge.rtsp.server_liveness import ServerLiveness
 from cloverhinge.rtsp.server_messages import encode_release
 from cloverhinge.rtsp.server_pool import ServerPool
 
@@ -51,6 +52,7 @@
         self.probe_count = 0
         self.process_count = 1  # processes that act as one router and share its limit of connections
         router.prober = self
+        self.list_is_current: Callable[[], bool] = lambda: True  # whether the change log is heard at present
         self.is_handed_over: Callable[[str], bool] = (
             lambda name: False
         )  # whether another router owns the session by now
@@ -77,7 +79,7 @@
             pool.unlist()
         for number, address in addresses.items():
             if number not in self.pools:
-                self.pools[number] = ServerPool(self, address, last_message_ms=self.clock.now())
+                self.pools[number] = ServerPool(self, address, ServerLiveness.starting(self.clock.now()))
 
     def set_process_count(self, count: int) -> None:
         """Set how many processes share the router's connections; those beyond this one's share stay open."""
@@ -152,6 +154,11 @@
                 )
             )
 
+    def next_probe_id(self) -> str:
+        """A session id for a probe that no earlier one had."""
+        self.probe_count += 1
+        return f"{self.probe_count:016x}"
+
     # Prober
 
     def probe(self, server: int) -> None:
@@ -160,8 +167,7 @@
         if pool is None:
             self.router.probed(server, Outcome.CONNECT_FAILED, 0.0, None)
             return
-        self.probe_count += 1
-        probe = Probe(pool, f"{self.probe_count:016x}", self.clock.now())
+        probe = Probe(pool, self.next_probe_id(), self.clock.now())
         probe.deadline = self.deadlines.after(
             PROBE_TIMEOUT_MS, lambda: self.probe_ended(probe, Outcome.TIMEOUT)
         )
--- a/cloverhinge/rtsp/server_connection.py
+++ b/cloverhinge/rtsp/server_connection.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from twisted.internet.error import ConnectionLost
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
@@ -106,4 +106,4 @@
         self.gone = True
         self.pool.servers.deadlines.cancel(self.partial_deadline)
         self.pool.was_reset = self.pool.was_reset or reason.check(ConnectionLost) is not None
-        self.pool.connection_closed(self)
+        self.pool.connection_closed(self, orderly=reason.check(ConnectionDone) is not None)
--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -19,13 +20,12 @@
 from cloverhinge.discovery.updates import ServerAddress
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.server_connection import Probe, ServerConnection
+from cloverhinge.rtsp.server_liveness import ServerLiveness, Verdict
 from cloverhinge.rtsp.server_messages import encode_release, parse_load_report, parse_session_event
 
 if TYPE_CHECKING:
     from cloverhinge.rtsp.media_servers import MediaServers
 
-SILENCE_CHECK_MS = 5500.0  # a server with sessions that is silent this long must accept a new connection
-SILENCE_LOST_MS = 7000.0  # after this much silence its sessions count as lost; the rules allow 8 s
 MIN_CONNECTION_LIFE_MS = 1000.0  # a connection that lasted this long is reopened without a delay
 REFUSED_LOST_MS = 2500.0  # sessions of a server that refuses connections this long count as lost
 RETRY_BACKOFF_MS = (200.0, 2000.0)  # first and longest delay before a failed connection is retried
@@ -68,6 +68,7 @@
 
     servers: MediaServers
     address: ServerAddress
+    liveness: ServerLiveness
     connections: list[ServerConnection] = field(default_factory=list)  # for set-ups, oldest first
     retiring: list[ServerConnection] = field(default_factory=list)
     opening: int = 0  # attempts to connect under way
@@ -75,7 +76,6 @@
     checking: bool = False  # the next connection only shows that the server is alive
     waiting: list[Attempt | Probe] = field(default_factory=list)
     unsent: deque[bytes] = field(default_factory=lambda: deque(maxlen=MAX_UNSENT))
-    last_message_ms: float = 0.0
     retry_at_ms: float = 0.0
     backoff_ms: float = RETRY_BACKOFF_MS[0]
     listed: bool = True
@@ -90,9 +90,13 @@
     @property
     def needs_connection(self) -> bool:
         """Whether none is open though something waits for it, or sessions exist whose releases use it."""
-        wanted = self.waiting or self.unsent or self.servers.router.established.get(self.address.number)
+        wanted = self.waiting or self.unsent or self._has_sessions
         return self.listed and not self.connections and not self.opening and bool(wanted)
 
+    @property
+    def _has_sessions(self) -> bool:
+        return bool(self.servers.router.established.get(self.address.number))
+
     def replace(self) -> None:
         """Retire all connections once a new one is open."""
         self.replacing = True
@@ -104,9 +108,11 @@
         self._log_event("connection opened", open=len(self.connections) + 1)
         self.opening, self.backoff_ms = self.opening - 1, RETRY_BACKOFF_MS[0]
         self.was_reset, self.refused_since_ms = False, None
-        connection.opened_ms = connection.last_set_up_ms = connection.last_traffic_ms = (
-            self.last_message_ms
-        ) = self.servers.clock.now()
+        now = self.servers.clock.now()
+        connection.opened_ms = connection.last_set_up_ms = connection.last_traffic_ms = now
+        if not self._has_sessions:
+            self.liveness.nothing_expected(now)
+        self.liveness.connection_opened(now)
         if not self.listed:  # opened to send the unsent messages
             self.retiring.append(connection)
             self._send_unsent(connection)
@@ -177,8 +183,11 @@
             )
             self.servers.router.cut_all(self.address.number)
 
-    def connection_closed(self, connection: ServerConnection) -> None:
-        """Remove a connection and end the attempts and probes that were under way on it."""
+    def connection_closed(self, connection: ServerConnection, orderly: bool) -> None:
+        """Remove a connection and end the attempts and probes that were under way on it.
+
+        `orderly` says that the server closed it, rather than that it was reset or dropped.
+        """
         for connections in (self.connections, self.retiring):
             if connection in connections:
                 connections.remove(connection)
@@ -187,6 +196,8 @@
         connection.attempts.clear()
         connection.probes.clear()
         now = self.servers.clock.now()
+        if orderly:
+            self.liveness.heard(connection.opened_ms, now)
         if now - connection.opened_ms < MIN_CONNECTION_LIFE_MS:  # a server may close each connection at once
             self.retry_at_ms = now + RETRY_BACKOFF_MS[0]
         elif self.needs_connection:
@@ -259,7 +270,9 @@
 
     def handle_message(self, connection: ServerConnection, message: messages.Message) -> None:
         """Process a message of the server.  Raises MalformedMessage if one of its values is invalid."""
-        self.last_message_ms = connection.last_traffic_ms = self.servers.clock.now()
+        now = self.servers.clock.now()
+        connection.last_traffic_ms = now
+        self.liveness.heard(connection.opened_ms, now)
         if message.status:
             self.handle_response(connection, message)
         else:
@@ -295,6 +308,8 @@
         """Process a release, an event of a session, or a ping of the server."""
         session_id, router = message.session_id, self.servers.router
         request = router.by_session_id.get(session_id)
+        if request is not None and request.server == self.address.number:
+            self.liveness.session_heard(request.established_ms, self.servers.clock.now())
         if message.method == "TEARDOWN":
             connection.send(messages.encode_response(200, message.headers.get("cseq", "2"), session_id))
             cause = message.headers.get("reason", "").partition("cause=")[2].strip()
@@ -333,8 +348,8 @@
                 self.retire(connection)
         if self.needs_connection and now >= self.retry_at_ms:
             self.open()
-        if not self.servers.router.established.get(self.address.number):
-            self.last_message_ms = now  # nothing is expected from it
+        if not self._has_sessions:
+            self.liveness.nothing_expected(now)
             for connection in [
                 x
                 for x in self.connections
@@ -347,18 +362,55 @@
             and now - self.connections[0].last_traffic_ms > IDLE_TIMEOUT_SHARE * self.servers.idle_ms
         ):
             self.replace()
-        if now - self.last_message_ms > SILENCE_LOST_MS:
+        self._check_liveness(now)
+
+    def _check_liveness(self, now: float) -> None:
+        """Find out whether the server still has its sessions, and cut those that it has lost."""
+        verdict = self.liveness.judge(now, bool(self._old_connections()), self.servers.list_is_current())
+        if verdict is Verdict.CHECK:
+            self.liveness.check_started(now)
+            if now >= self.retry_at_ms and not self.opening:
+                self.checking = True
+                self.open()
+        elif verdict is Verdict.PING:
+            self.liveness.pinged(now)
+            self._ping(self._old_connections())
+        elif verdict is not Verdict.NOTHING:
             if any(connection.unread for connection in self.all_connections()):
                 return  # this process was paused: read first what has arrived meanwhile
-            self.servers.log.warn(
-                "media server {name}: silent; its sessions are considered lost", name=self.address.name
-            )
-            for connection in self.all_connections():
+            self._log_event(verdict.value, unproven_ms=round(now - self.liveness.proven_ms))
+            if verdict is Verdict.SILENT:
+                self._lose_sessions("silent")
+            else:
+                self._lose_sessions("may have restarted", self.liveness.accept_successor(now))
+
+    def _old_connections(self) -> list[ServerConnection]:
+        """The open connections from before the last silence."""
+        return [
+            x
+            for x in self.all_connections()
+            if x.half_closed_ms is None and not x.gone and self.liveness.is_before_successor(x.opened_ms)
+        ]
+
+    def _ping(self, connections: list[ServerConnection]) -> None:
+        if self.servers.router.settings.may_probe:
+            for connection in connections:
+                self.servers.router.counters.probes += 1
+                connection.send(
+                    messages.encode_request("OPTIONS", "rtsp://media/ping", 3, self.servers.next_probe_id())
+                )
+
+    def _lose_sessions(self, reason: str, established_before_ms: float = math.inf) -> None:
+        """Cut the sessions that a lost process had, and drop the connections to it."""
+        self.servers.log.warn(
+            "media server {name}: {reason}; its sessions are considered lost",
+            name=self.address.name,
+            reason=reason,
+        )
+        for connection in self.all_connections():
+            if connection.opened_ms < established_before_ms:
                 connection.drop()
-            self.servers.router.cut_all(self.address.number)
-        elif now - self.last_message_ms > SILENCE_CHECK_MS and now >= self.retry_at_ms and not self.opening:
-            self.checking = True
-            self.open()
+        self.servers.router.cut_all(self.address.number, established_before_ms)
 
     def unlist(self) -> None:
         """End the waiting attempts and probes and retire all connections, as the server has left the list.
--- a/tests/test_media_servers.py
+++ b/tests/test_media_servers.py
@@ -49,7 +49,7 @@
     def __init__(self, count: int) -> None:
         self.clock, self.reactor = ManualClock(), Reactor()
         self.deadlines = Deadlines(self.clock)
-        self.router = Router(settings(), 1, self.clock, self.deadlines)
+        self.router = Router(settings(may_probe=True), 1, self.clock, self.deadlines)
         self.servers = MediaServers(
             self.reactor, self.router, self.clock, self.deadlines, 250.0, 30_000.0, 384
         )
@@ -61,10 +61,14 @@
 
     def adopt(self, server: int) -> RecordingClient:
         client = RecordingClient()
-        set_up = SetUpRequest(f"{server:016x}", "film", "title", 0, 3, 1, 0.0)
-        assert self.router.adopt(set_up, server, cast(ClientPort, client), self.servers)
+        self.adopt_as(client, server, number=server)
         return client
 
+    def adopt_as(self, client: RecordingClient, server: int, number: int) -> None:
+        """Hands the session of this number, which plays at a server, over for a client."""
+        set_up = SetUpRequest(f"{number:016x}", "film", "title", 0, 3, 1, 0.0)
+        assert self.router.adopt(set_up, server, cast(ClientPort, client), self.servers)
+
     def open_connection(self) -> ServerConnection:
         connection = cast(ServerConnection, self.reactor.factories[-1].buildProtocol(None))
         cast(Any, connection).makeConnection(cast(Any, Transport)())
