Admission: a session's length counts as 1 ms or more in the forecasts

Messages allow every number from 0 to 1e15.

Change: LifeTable.length_ms, the one source of these lengths, gives MIN_LENGTH_MS (1 ms) or more, for hints and for observed means. The decision module counts in whole microseconds and takes such a length for none already.

Why it works: quotients of ages and lengths stay below 1e15, and the squares of lengths between 1 and 1e30.

--- a/cloverhinge/admission/forecast.py
+++ b/cloverhinge/admission/forecast.py
@@ -18,6 +18,7 @@
 # of shape 2 with a mean of one length has a hazard of pi / 2 times the age.
 PRIOR_HAZARD_SLOPE = 1.57
 MAX_ENDS = 512.0  # ends of a class at which its table is halved, to follow changes over the day
+MIN_LENGTH_MS = 1.0  # shorter lengths count as this one, so that quotients of lengths stay finite
 DEFAULT_MEAN_MS = 60_000.0  # length assumed for a class without hints until sessions have ended
 MAX_SAMPLE = 128  # sessions used for one curve; of more, every n-th
 
@@ -32,14 +33,15 @@
         self._sums: list[float] | None = None
 
     def length_ms(self, hint_ms: float) -> float:
-        """The unit of age: the hint if it is above 0, else the observed mean length, in ms."""
+        """The unit of age: the hint if it is above 0, else the observed mean length, in ms.
+
+        At least `MIN_LENGTH_MS`.
+        """
         if hint_ms > 0:
-            return hint_ms
-        return (
-            self.ended_total_ms / self.ended_count
-            if self.ended_count and self.ended_total_ms > 0
-            else DEFAULT_MEAN_MS
-        )
+            return max(hint_ms, MIN_LENGTH_MS)
+        if self.ended_count and self.ended_total_ms > 0:
+            return max(self.ended_total_ms / self.ended_count, MIN_LENGTH_MS)
+        return DEFAULT_MEAN_MS
 
     def record_end(self, age_ms: float, hint_ms: float) -> None:
         """Count a session that ended at an age."""
@@ -129,7 +131,7 @@
     Capacity that a departure frees is used again, and freed again.  These later departures follow from
     renewal theory (Cox 1962, 4.2): after a time s that is not short, s / mean + (variance / mean^2 - 1) / 2
     renewals are expected.  Long sessions are more frequent among those that play than among new ones, so each
-    counts by 1 / length in these moments.
+    counts by 1 / length in these moments.  Lengths are `MIN_LENGTH_MS` or more, as by `LifeTable.length_ms`.
     """
     step = max(1, -(-len(playing) // MAX_SAMPLE))
     sample = playing[::step]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+import math
 from dataclasses import replace
 from ipaddress import ip_network
 
@@ -384,3 +385,25 @@
         fair_table.record_end(1000.0, 10_000.0)
     playing = [0.1] * 180
     assert fair_table.cumulative_hazards(playing)[1] < 0.2 * biased.cumulative_hazards()[1]
+
+
+# Guards against an arithmetic error, or no number, where a client names an extreme length of its session.
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 1e9), st.floats(0.0, 1e15) | st.sampled_from([5e-324, 1e-200, 1e-9, 9e14])),
+        min_size=1,
+        max_size=6,
+    ),
+    st.lists(st.tuples(st.floats(0.0, 1e9), st.floats(0.0, 1e15)), max_size=3),
+)
+def test_forecasts_are_finite_for_any_length(
+    playing: list[tuple[float, float]], ended: list[tuple[float, float]]
+) -> None:
+    table = LifeTable()
+    for age_ms, hint_ms in ended:
+        table.record_end(age_ms, hint_ms)
+    curve = departure_curve(
+        [(age_ms, table.length_ms(hint_ms), table.cumulative_hazards()) for age_ms, hint_ms in playing]
+    )
+    found = [curve.within(ms) for ms in (0.0, 250.0, 10_000.0, 1e6)]
+    assert all(math.isfinite(count) and count >= 0.0 for count in found), found
--- a/tests/test_admission_network.py
+++ b/tests/test_admission_network.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from cloverhinge.admission.clients import compute_proof
 from cloverhinge.lab.harness import (
     SETTINGS,
@@ -129,6 +131,21 @@
         connection.close()
 
 
+# Guards against one bad client's length of its session that keeps all later requests from being answered.
+@pytest.mark.parametrize("length_ms", [5e-324, 1e-200, 1e-9, 9e14])
+def test_a_session_of_extreme_length_keeps_no_later_request_from_its_answer(
+    tmp_path: Path, length_ms: float
+) -> None:
+    with admission_program(tmp_path, [FakeMediaServer("s-00000000", 0)]) as program:
+        connection = program.connect()
+        setup(connection, 1, length_ms=length_ms)
+        setup(connection, 2)
+        assert [read_answer(connection).status for _ in range(2)] == [200, 200]
+        for number in (3, 4):  # the estimate of their retry-after uses the lengths of those that play
+            setup(connection, number)
+            assert read_answer(connection).status == 503
+
+
 def test_each_waiting_request_is_answered_once_at_sigterm(tmp_path: Path) -> None:
     with admission_program(tmp_path, [FakeMediaServer("s-00000000", 0)]) as program:
         connection = program.connect()
