--- a/cloverhinge/rtsp/server_liveness.py
+++ b/cloverhinge/rtsp/server_liveness.py
@@ -14,7 +14,6 @@
 
 SILENCE_CHECK_MS = 5500.0  # a server with sessions that is silent this long must accept a new connection
 SILENCE_LOST_MS = 7000.0  # after this much silence its sessions count as lost; the rules allow 8 s
-CHECK_TIMEOUT_MS = 1000.0  # a check that is unanswered this long has failed
 RECONNECT_GRACE_MS = (
     1000.0  # a connection that comes up this soon after a sign of life is to the same process
 )
@@ -44,7 +43,6 @@
     last_sign_ms: float  # when a message was received or a connection came up, on any connection
     proven_ms: float  # when the process that has the sessions was proven to be alive
     successor_since_ms: float | None = None
-    checked_ms: float | None = None  # when it was checked first since the last sign
     pinged_ms: float | None = None  # when the old connections were sent something, since there is a successor
 
     @classmethod
@@ -55,20 +53,17 @@
     def nothing_expected(self, now: float) -> None:
         """The server has no sessions, so its silence means nothing."""
         self.last_sign_ms = now
-        self.checked_ms = None
         self._prove(now)
 
     def connection_opened(self, now: float) -> None:
         """A connection has come up."""
         self.last_sign_ms = now
-        self.checked_ms = None
         if self.successor_since_ms is None and now - self.proven_ms > RECONNECT_GRACE_MS:
             self.successor_since_ms = now
 
     def heard(self, opened_ms: float, now: float) -> None:
         """A message, or an orderly close, was received on a connection that came up at `opened_ms`."""
         self.last_sign_ms = now
-        self.checked_ms = None
         if self.is_before_successor(opened_ms):
             self._prove(now)
 
@@ -86,8 +81,7 @@
 
         `has_old_connection` says whether a connection from before the successor is open.
         """
-        check_failed = self.checked_ms is not None and now - self.checked_ms >= CHECK_TIMEOUT_MS
-        if now - self.last_sign_ms > SILENCE_LOST_MS and check_failed:
+        if now - self.last_sign_ms > SILENCE_LOST_MS:
             return Verdict.SILENT
         if self.successor_since_ms is not None:
             verdict = self._judge_successor(self.successor_since_ms, now, has_old_connection, list_is_current)
@@ -111,11 +105,6 @@
             return Verdict.PING
         return Verdict.NOTHING
 
-    def check_started(self, now: float) -> None:
-        """Note that a check has been started, as `judge` asked for it."""
-        if self.checked_ms is None:
-            self.checked_ms = now
-
     def pinged(self, now: float) -> None:
         """Note that the old connections have been sent something, as `judge` asked for it."""
         self.pinged_ms = now
--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -368,7 +368,6 @@
         """Find out whether the server still has its sessions, and cut those that it has lost."""
         verdict = self.liveness.judge(now, bool(self._old_connections()), self.servers.list_is_current())
         if verdict is Verdict.CHECK:
-            self.liveness.check_started(now)
             if now >= self.retry_at_ms and not self.opening:
                 self.checking = True
                 self.open()
