Exceptions: one in a step costs that step alone, and its request is concluded

Cause: SetUpScheduler._run_turn sets _scheduled and cleared it at its end only, so that any exception left it set and no turn was scheduled again. Class: state left set when a step raises.

A request whose decision raised is refused, or failed if an attempt may have run.

Why it works: what is set before a step is cleared in `finally`, and what has to come again is scheduled before the step and not behind it.

--- a/cloverhinge/admission/gateway.py
+++ b/cloverhinge/admission/gateway.py
@@ -18,6 +18,7 @@
 from cloverhinge.admission.reservation_tokens import ReservationTokens
 from cloverhinge.admission.reservations import Reservation, ReservationTable
 from cloverhinge.core.clock import to_us
+from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import DeadlineKey, Deadlines
 from cloverhinge.core.model import Request, SetUpRequest, State
 from cloverhinge.core.router import Router
@@ -176,24 +177,37 @@
         After admissions the queue is served again: it sees the capacity that they take only once they are
         carried out.
         """
-        while verdicts:
-            admitted = False
-            for verdict in verdicts:
-                request = self.router.requests.get(verdict.number)
-                if request is None or request.state is not State.OPEN:
-                    continue
-                if isinstance(verdict, fair_queue.Admit):
-                    self.router.admit(request)
-                    admitted = True
-                else:
-                    self.router.reject(request, verdict.retry_after_ms, self._token(verdict))
-            verdicts = self.queue.serve(self.clock.now()) if admitted and self.queue.waiting else []
+        try:
+            while verdicts:
+                admitted = False
+                for verdict in verdicts:
+                    with contained("a verdict of admission is carried out"):
+                        admitted = self._carry_out(verdict) or admitted
+                verdicts = self.queue.serve(self.clock.now()) if admitted and self.queue.waiting else []
+        finally:
+            self._poll_while_waiting()
+
+    def _carry_out(self, verdict: fair_queue.Verdict) -> bool:
+        """Admit or reject a request that is still open; return whether it was admitted."""
+        request = self.router.requests.get(verdict.number)
+        if request is None or request.state is not State.OPEN:
+            return False
+        if isinstance(verdict, fair_queue.Admit):
+            self.router.admit(request)
+            return True
+        self.router.reject(request, verdict.retry_after_ms, self._token(verdict))
+        return False
+
+    def _poll_while_waiting(self) -> None:
         if self.queue.waiting and self.poll_timer is None:
             self.poll_timer = self.deadlines.after(POLL_INTERVAL_MS, self._poll)
 
     def _poll(self) -> None:
         self.poll_timer = None
-        self._apply(self.queue.poll(self.clock.now()))
+        try:
+            self._apply(self.queue.poll(self.clock.now()))
+        finally:
+            self._poll_while_waiting()
 
     def _schedule_change(self) -> None:
         """Check for capacity once after the present round of events, whatever they free."""
--- a/cloverhinge/core/deadlines.py
+++ b/cloverhinge/core/deadlines.py
@@ -9,6 +9,7 @@
 from sortedcontainers import SortedDict
 
 from cloverhinge.core.clock import Clock
+from cloverhinge.core.containment import contained
 
 DeadlineKey = tuple[float, int]
 LATE_MS = (
@@ -57,6 +58,15 @@
         """Schedule a call after this many milliseconds; returns the key for `cancel`."""
         return self.schedule(self.clock.now() + ms, call)
 
+    def repeat(self, ms: float, call: Callable[[], None]) -> None:
+        """Call at once, and again every `ms` milliseconds, whatever a call raises."""
+
+        def repeated() -> None:
+            self.after(ms, repeated)
+            call()
+
+        repeated()
+
     def cancel(self, key: DeadlineKey | None) -> None:
         """Cancel a deadline; no effect for one that has passed, or for None."""
         if key is not None and self._due.pop(key, None) is not None:
@@ -73,7 +83,8 @@
             for key in list(self._due.irange(maximum=(now, last))):
                 call = self._due.pop(key, None)  # an earlier call may have cancelled it
                 if call is not None:
-                    call()
+                    with contained("a deadline is met"):
+                        call()
         finally:
             self._running = False
             self._update_timer()
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -13,6 +13,7 @@
 from twisted.logger import Logger
 
 from cloverhinge.core.clock import Clock, to_ms, to_us
+from cloverhinge.core.containment import contained, report_exception
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.invariants import check_invariant
 from cloverhinge.core.model import (
@@ -50,6 +51,7 @@
 # A request that has less time than this left when the process ends is refused, as its attempt would be
 # given up.
 MIN_SET_UP_MS = 100.0
+UNDECIDED_RETRY_MS = 1000.0  # retry-after of a request whose decision has failed
 SHUTDOWN_RETRY_MS = 1000.0  # retry-after of a request that a shutdown ends: a restart takes about as long
 # A give-up reaches the media server within this time; only then may the next attempt be sent.
 GIVE_UP_DELAY_MS = 8.0
@@ -96,7 +98,8 @@
     def dispatch(self, event: api.Event) -> None:
         """Pass an event to the decision module and execute the actions that it returns.
 
-        Events are handled one at a time: an event that an action causes is queued until its turn.
+        Events are handled one at a time: an event that an action causes is queued until its turn.  An
+        exception in the module or in an action is reported, and the request concerned is concluded.
         """
         self._events.append(event)
         if self._dispatching:
@@ -104,11 +107,35 @@
         self._dispatching = True
         try:
             while self._events:
-                for action in self.controller.handle(to_us(self.clock.now()), self._events.popleft()):
-                    self._execute(action)
+                self._handle(self._events.popleft())
         finally:
             self._dispatching = False
 
+    def _handle(self, event: api.Event) -> None:
+        undecided = None
+        try:
+            actions = self.controller.handle(to_us(self.clock.now()), event)
+        except Exception:
+            report_exception("an event is decided on")
+            actions = self.controller.actions  # the module's state counts on those decided before
+            undecided = event.session if isinstance(event, api.SessionRequested | api.AttemptEnded) else None
+        for action in actions:
+            try:
+                self._execute(action)
+            except Exception:
+                report_exception("an action is executed")
+                if isinstance(action, api.SetUp | api.Refuse | api.Fail):
+                    self._conclude_undecided(action.session)
+        if undecided is not None:
+            self._conclude_undecided(undecided)
+
+    def _conclude_undecided(self, handle: int) -> None:
+        """Conclude an open request for which nothing is under way, as its decision has failed."""
+        request = self.requests.get(handle)
+        if request is not None and request.state is State.OPEN and request.attempt is None:
+            failure = None if request.service_class.may_refuse(request.may_have_run) else Outcome.ERROR
+            self._conclude_by_core(request, failure, UNDECIDED_RETRY_MS, Outcome.MOOT)
+
     def _execute(self, action: api.Action) -> None:
         match action:
             case api.SetUp(handle, server, timeout_us):
@@ -154,10 +181,14 @@
         )
         self.counters.taken += 1
         self.open_requests += 1
-        if self.admission is None:
-            self.admit(request)
-        else:
-            self.admission.arrive(request)
+        try:
+            if self.admission is None:
+                self.admit(request)
+            else:
+                self.admission.arrive(request)
+        except Exception:
+            report_exception("a request is admitted")
+            self._conclude_undecided(request.handle)
         return request
 
     def admit(self, request: Request) -> None:
@@ -299,7 +330,8 @@
                 request.may_have_run = True
             may_refuse = request.service_class.may_refuse(request.may_have_run)
             failure = None if may_refuse else Outcome.TIMEOUT
-            self._conclude_by_core(request, failure, SHUTDOWN_RETRY_MS, Outcome.CANCELLED)
+            with contained("an open request is answered at the end"):
+                self._conclude_by_core(request, failure, SHUTDOWN_RETRY_MS, Outcome.CANCELLED)
 
     def _conclude_by_core(
         self, request: Request, failure: Outcome | None, retry_after_ms: float, attempt_outcome: Outcome
@@ -525,9 +557,11 @@
         if not same_title:
             del self.by_title[request.set_up.title]
         if self.admission is not None:
-            self.admission.ended(request)
+            with contained("admission is told of a request's end"):
+                self.admission.ended(request)
         if self.ownership is not None:
-            self.ownership.ended(request)
+            with contained("ownership is told of a request's end"):
+                self.ownership.ended(request)
 
     def _refuse(self, handle: int, retry_after_ms: float) -> None:
         request = self.requests.get(handle)
@@ -545,8 +579,9 @@
         request.tally.shed += 1
         reservation_token = ""
         if self.admission is not None:
-            estimate_ms, reservation_token = self.admission.refused(request, retry_after_ms)
-            retry_after_ms = estimate_ms if self.settings.retry_after else 0.0
+            with contained("a retry-after is estimated"):
+                estimate_ms, reservation_token = self.admission.refused(request, retry_after_ms)
+                retry_after_ms = estimate_ms if self.settings.retry_after else 0.0
         self._log(request, "refused", retry_after_ms=round(retry_after_ms))
         self._conclude(request)
         request.client.refused(retry_after_ms, reservation_token)
@@ -581,7 +616,8 @@
         request.established_ms = self.clock.now()
         self.established.setdefault(server, {})[request.handle] = request
         if self.admission is not None:
-            self.admission.established(request)
+            with contained("admission is told of a session"):
+                self.admission.established(request)
 
     def session_ended(self, request: Request, outcome: Outcome, report: api.LoadReport | None = None) -> None:
         """The media server has released the session.  Repeated releases have no effect."""
@@ -600,7 +636,8 @@
         """End the sessions at a lost media server that were established before a Unix time."""
         for request in list(self.established.get(server, {}).values()):
             if request.established_ms < established_before_ms:
-                self.cut(request)
+                with contained("a session is cut"):
+                    self.cut(request)
 
     def _move(self, handle: int) -> None:
         request = self.requests.get(handle)
@@ -652,7 +689,8 @@
         top = min(request.set_up.ceiling, request.service_class.top, len(self.settings.ladder_kb) - 1)
         request.rung = max(request.service_class.floor, min(rung, top))
         if self.admission is not None:
-            self.admission.rung_changed(request)
+            with contained("admission is told of a rung"):
+                self.admission.rung_changed(request)
         if request.state is State.ESTABLISHED:
             request.servers.set_rung(request, request.rung)
             if self.ownership is not None:
@@ -680,7 +718,8 @@
             if listing.started_us and not listing.after_maintenance:
                 self.cut_all(listing.server, established_before_ms=to_ms(listing.started_us))
         if self.admission is not None:
-            self.admission.fleet_changed()
+            with contained("admission is told of the list"):
+                self.admission.fleet_changed()
 
     def start_maintenance(self, server: int, since_ms: float) -> None:
         """Put a media server in maintenance mode: like a draining one, it gets no new sessions until the mode
--- a/cloverhinge/members/transport.py
+++ b/cloverhinge/members/transport.py
@@ -172,7 +172,9 @@
         )
         self._started = True
         self._perform(self.membership.start(self.clock.now()), None)
-        self.deadlines.after(self.random.uniform(0.0, core.TICK_MS), self._tick)
+        self.deadlines.after(
+            self.random.uniform(0.0, core.TICK_MS), lambda: self.deadlines.repeat(core.TICK_MS, self._tick)
+        )
 
     def _listen(self) -> tuple[str, int]:
         host, port = self.site.listen
@@ -246,7 +248,6 @@
 
     def _tick(self) -> None:
         self._perform(self.membership.tick(self.clock.now()), None)
-        self.deadlines.after(core.TICK_MS, self._tick)
 
     def receive(self, signed_message: bytes, peer: core.Address, reply_to: FrameProtocol | None) -> None:
         """Handles a signed message; `reply_to` is the connection that it came over, None for a datagram."""
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -19,8 +19,10 @@
 
 from cloverhinge import __version__
 from cloverhinge.config import Config, from_environment
+from cloverhinge.core import containment
 from cloverhinge.core.clock import Clock, to_ms
 from cloverhinge.core.config_values import ConfigError
+from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
 from cloverhinge.decision import interface as api
@@ -224,7 +226,7 @@
         if self.operations is not None:
             self.operations.begin_serving()
         if self.site.members is not None:
-            self._publish()
+            self.deadlines.repeat(PUBLISH_PERIOD_MS, self._publish)
 
     def _publish(self) -> None:
         """Update the facts that other routers know of this one; the members component decides when to send
@@ -246,7 +248,6 @@
                 "load": sum(len(sessions) for sessions in router.established.values()),
             }
         )
-        self.deadlines.after(PUBLISH_PERIOD_MS, self._publish)
 
     def _start_hls(self, settings: HlsSettings) -> None:
         from cloverhinge.hls.component import HlsComponent  # loaded only if the HLS front is on
@@ -298,8 +299,10 @@
             self.servers.pop(server.number, None)
             if listing.health is not api.Health.GONE:
                 self.servers[server.number] = server
-        self.router.update_fleet(kind, (listing for _, listing in update.rows))
-        self.media_servers.update_list(self.servers)
+        with contained("the router applies a list"):
+            self.router.update_fleet(kind, (listing for _, listing in update.rows))
+        with contained("the connections follow a list"):
+            self.media_servers.update_list(self.servers)
         self.log.info(
             "list {seq}: {rows} media servers changed, {servers} listed",
             seq=update.seq,
@@ -400,6 +403,7 @@
     """Run a router until SIGTERM or SIGINT; returns the exit status, 1 if it could not start."""
     observer: Any = textFileLogObserver(sys.stderr)
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False, discardBuffer=True)
+    containment.log_exception = lambda step: Node.log.failure("unexpected exception while {step}", step=step)
     node = Node(config, site)
     failures: list[BaseException] = []
 
--- a/cloverhinge/operations/component.py
+++ b/cloverhinge/operations/component.py
@@ -89,7 +89,7 @@
             )
         if self.instance_files is not None:
             self.instance_files.start()
-            self._poll_files()
+            self.deadlines.repeat(POLL_INTERVAL_MS, self._poll_files)
 
     def begin_serving(self) -> None:
         """The router is ready: `status` answers ACK, and this process takes its share of new sessions."""
@@ -217,4 +217,3 @@
         self._merge_file()
         if self.instance_files is not None:
             self._exchange_state(self.instance_files)
-        self.deadlines.after(POLL_INTERVAL_MS, self._poll_files)
--- a/cloverhinge/ownership/component.py
+++ b/cloverhinge/ownership/component.py
@@ -148,7 +148,7 @@
         self.router.ownership = self
         self.members.receivers[self.key] = self._receive
         self.members.listeners.append(self._on_membership_event)
-        self._tick()
+        self.deadlines.repeat(core.TICK_MS, self._tick)
 
     def _on_durable(self, number: int, mark: Mark) -> None:
         self._act(self.core.on_durable(self.clock.now(), number, mark))
@@ -249,7 +249,6 @@
             elif self.core.may_act(id, now):
                 del self._unconfirmed_answers[id]
                 self.router.answered(attempt, answer)
-        self.deadlines.after(core.TICK_MS, self._tick)
 
     @staticmethod
     def _spare_capacity(facts: bytes) -> float:
--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from cloverhinge.core.containment import report_exception
 from cloverhinge.core.model import Presence, Request
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.client import RtspClient
@@ -88,6 +89,9 @@
             self.front.set_up(self, set_up)
         except messages.MalformedMessage as error:
             self.malformed(error, set_up.message)
+        except Exception:
+            report_exception("a set-up is begun")
+            self.front.fail_unregistered(self, set_up)
         self.front.update_rank(self)
         if not self.queue.full and not self.gone:
             self._set_paused(False)
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -12,6 +12,7 @@
 from twisted.logger import Logger
 
 from cloverhinge.core.clock import Clock
+from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.model import ServerPort, State
 from cloverhinge.core.router import Router
@@ -63,7 +64,7 @@
 
     def start(self) -> None:
         """Start the periodic sweep."""
-        self._sweep()
+        self.deadlines.repeat(SWEEP_INTERVAL_MS, self._sweep)
 
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection | None:
         """Refuse a connection when too many are open.
@@ -128,7 +129,8 @@
         connection.queue.clear()
         for request in list(connection.unanswered.values()):
             if request.state is State.OPEN:
-                self.router.viewer_left(request)
+                with contained("a request of a closed connection is given up"):
+                    self.router.viewer_left(request)
         connection.unanswered.clear()
         self._deliver_again(connection)
 
@@ -183,6 +185,12 @@
         elif request.state is State.OPEN:
             connection.unanswered[set_up.session_id] = request
 
+    def fail_unregistered(self, connection: ClientConnection, received: ReceivedSetUp) -> None:
+        """Answer a set-up that has failed before the core had it; the core answers all others."""
+        session_id = received.message.session_id
+        if session_id not in self.router.by_session_id:
+            connection.send(messages.encode_response(500, "1", session_id))
+
     def refuse_waiting(self, connection: ClientConnection, received: ReceivedSetUp) -> None:
         """Refuse a set-up that no time is left to begin."""
         message = received.message
@@ -252,7 +260,8 @@
         """
         for connection in self.connections:
             if connection.half_closed_ms is None and not connection.gone:
-                connection.handle_unread_input()
+                with contained("unread input is handled at the end"):
+                    connection.handle_unread_input()
                 connection.log_event("half-closed, the process ends", unanswered=len(connection.unanswered))
                 connection.half_closed_ms = self.clock.now()
                 connection.half_close()
@@ -293,4 +302,3 @@
             if connection.overdue(now) and not connection.unread:
                 connection.log_event("closed, bad input or no whole message in time")
                 connection.close()
-        self.deadlines.after(SWEEP_INTERVAL_MS, self._sweep)
--- a/cloverhinge/rtsp/intake.py
+++ b/cloverhinge/rtsp/intake.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.rtsp import messages
 
@@ -133,20 +134,26 @@
         self._scheduled = True  # sources offered during this turn are appended
         clock = self.deadlines.clock
         started_ms = clock.now()
-        self._refuse_overdue(started_ms)
-        until_ms = started_ms + MAX_TURN_MS - self._used_ms
-        while self._sources and clock.now() < until_ms:
+        try:
+            self._refuse_overdue(started_ms)
+            self._begin_until(started_ms + MAX_TURN_MS - self._used_ms)
+        finally:
+            self._used_ms += clock.now() - started_ms
+            self._scheduled = bool(self._sources) or self._used_ms >= MAX_TURN_MS
+            if self._scheduled:
+                self.deadlines.after(0.0, self._next_iteration)
+
+    def _begin_until(self, until_ms: float) -> None:
+        while self._sources and self.deadlines.clock.now() < until_ms:
             source = self._sources.popleft()
-            if len(source.queue):
-                source.begin(source.queue.next())
-            if len(source.queue):
-                self._sources.append(source)
-            else:
-                self._registered.discard(source)
-        self._used_ms += clock.now() - started_ms
-        self._scheduled = bool(self._sources) or self._used_ms >= MAX_TURN_MS
-        if self._scheduled:
-            self.deadlines.after(0.0, self._next_iteration)
+            try:
+                if len(source.queue):
+                    source.begin(source.queue.next())
+            finally:
+                if len(source.queue):
+                    self._sources.append(source)
+                else:
+                    self._registered.discard(source)
 
     def _next_iteration(self) -> None:
         self._used_ms = 0.0
@@ -158,4 +165,5 @@
         self._next_scan_ms = now + OVERDUE_SCAN_MS
         for source in self._sources:
             for set_up in source.queue.take_overdue(now):
-                source.refuse(set_up)
+                with contained("a set-up that has waited too long is refused"):
+                    source.refuse(set_up)
--- a/cloverhinge/rtsp/media_servers.py
+++ b/cloverhinge/rtsp/media_servers.py
@@ -13,6 +13,7 @@
 from twisted.logger import Logger
 
 from cloverhinge.core.clock import Clock
+from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.model import Attempt, Cause, Request
 from cloverhinge.core.router import Router
@@ -59,14 +60,14 @@
 
     def start(self) -> None:
         """Start the periodic sweep."""
-        self._sweep()
+        self.deadlines.repeat(SWEEP_INTERVAL_MS, self._sweep)
 
     def _sweep(self) -> None:
         now = self.clock.now()
         for pool in [*self.pools.values(), *self.unlisted]:
-            pool.sweep(now)
+            with contained("the connections to a media server are swept"):
+                pool.sweep(now)
         self.unlisted = [pool for pool in self.unlisted if pool.all_connections() or pool.opening]
-        self.deadlines.after(SWEEP_INTERVAL_MS, self._sweep)
 
     def update_list(self, addresses: dict[int, ServerAddress]) -> None:
         """Replace the list of media servers, by number, draining ones included.
--- a/cloverhinge/rtsp/messages.py
+++ b/cloverhinge/rtsp/messages.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass, field
 
+from cloverhinge.core.containment import report_exception
 from cloverhinge.net.buffered import MAX_MESSAGE_BYTES, BufferedReceiver
 
 VERSION = "RTSP/1.0"
@@ -201,6 +202,8 @@
             self.received(message)
         except MalformedMessage as error:
             self.malformed(error, message)
+        except Exception:
+            report_exception("a message is processed")
 
     def oversized(self) -> None:
         self.malformed(MalformedMessage("too long", 413))
--- a/cloverhinge/rtsp/server_connection.py
+++ b/cloverhinge/rtsp/server_connection.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from cloverhinge.core.containment import report_exception
 from cloverhinge.core.deadlines import DeadlineKey
 from cloverhinge.core.model import Attempt
 from cloverhinge.net.buffered import UNREAD_GRACE_MS
@@ -72,6 +73,8 @@
                 self.pool.handle_message(self, message)
             except messages.MalformedMessage as error:
                 self.malformed(error, message)
+            except Exception:
+                report_exception("a media server's message is processed")
 
     def _partial_timed_out(self) -> None:
         """Drop the connection, or wait if unread data may complete the message.
--- a/cloverhinge/shutdown.py
+++ b/cloverhinge/shutdown.py
@@ -22,6 +22,7 @@
 
 from twisted.logger import Logger
 
+from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.router import Router
 from cloverhinge.rtsp.front import RtspFrontend
@@ -142,7 +143,8 @@
         """Answer every open request, as the process may be killed soon."""
         if self.phase in (Phase.ACCEPTING, Phase.CLOSING):
             self._set_phase(Phase.REFUSING)
-            self.router.answer_open_requests()
+            with contained("open requests are answered"):
+                self.router.answer_open_requests()
             self.hooks.answer()
 
     def _close_all(self) -> None:
@@ -151,13 +153,16 @@
 
     def _end_connections(self) -> None:
         now = self.deadlines.clock.now()
-        self.front.close_idle(now)
-        remaining = self.front.open_connections + self.hooks.close_idle()
+        remaining = 1  # unless it can be counted
+        with contained("idle connections are closed"):
+            self.front.close_idle(now)
+            remaining = self.front.open_connections + self.hooks.close_idle()
         if (remaining or self.router.open_requests) and now < self.schedule.exit_ms:
             self.deadlines.after(IDLE_POLL_MS, self._end_connections)
             return
         self._set_phase(Phase.LEAVING)
-        self.hooks.ended()
+        with contained("components are told of the end"):
+            self.hooks.ended()
         self._leave(now + MAX_TAKE_OVER_MS)
 
     def _leave(self, until_ms: float) -> None:
--- a/cloverhinge/store/writer.py
+++ b/cloverhinge/store/writer.py
@@ -86,7 +86,7 @@
                 if clear:
                     self.folder.clear()
                 mark = self.folder.commit(rows, above)
-            except UnusableStoreError as error:
+            except Exception as error:  # whatever it is, what waits for a commit has to learn that none comes
                 self.call_in_main_thread(self.on_failure, str(error))
                 return
             done_number = number
