--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -325,7 +325,8 @@
                 and request.state is State.ESTABLISHED
                 and request.server == self.address.number
             ):
-                event = parse_session_event(message, request, self.address.number)
+                rung_count = len(router.settings.ladder_kb)
+                event = parse_session_event(message, request, self.address.number, rung_count)
                 if event is not None:
                     router.session_event(request, event)
         elif message.method == "OPTIONS":
