Connections: only a peer that takes nothing for 4 s counts as one that does not read

Cause: BufferedReceiver.pauseProducing dropped the connection. Twisted calls it from within write once 64 KiB were written since the last flush, which comes once in an iteration of the reactor, so that a burst was taken for a peer that does not read. Class: a local signal taken for what the peer does.

Evidence: a trace at the moment of the abort, on a scratch copy: 69,207 bytes buffered, 0 bytes in the kernel that the peer had not acknowledged; called from RtspClient.served. Excluded: slow viewers, limits on descriptors.

Nothing is handed to a full buffer; what waits follows in order as the buffer empties. A full buffer that does not empty for 4 s ends the connection, and so does the limit on all that waits (1/8 of the memory limit for clients, 1/16 for media servers) for the one that has stalled longest. Meanwhile nothing is read from that client and no set-up is sent on that connection. Releases that were never sent go to another connection. A close that the peer does not let through ends after 4 s.

Why it works: a buffer that empties shows that the peer's kernel has taken the data, which is what the rule is about; the size of a burst no longer matters.

--- a/cloverhinge/discovery/watch.py
+++ b/cloverhinge/discovery/watch.py
@@ -15,6 +15,7 @@
 from cloverhinge.core.deadlines import DeadlineKey, Deadlines
 from cloverhinge.discovery.updates import ListUpdate, parse_update
 from cloverhinge.net.buffered import UNREAD_GRACE_MS, BufferedReceiver
+from cloverhinge.net.output import OutputLimits
 
 # Events that a silent log withholds count as received 4 s after the silence began.  Heartbeats arrive every
 # second, so silence is detected after 1.6 s.  If the next connection is silent as well, it is given up 1.2 s
@@ -34,7 +35,7 @@
     delimiter = b"\n"
 
     def __init__(self, watch: DiscoveryWatch) -> None:
-        super().__init__()
+        super().__init__(watch.output_limits)
         self.watch = watch
 
     def connectionMade(self) -> None:
@@ -46,7 +47,7 @@
             self.watch.line_received(self, line)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.gone = True
+        super().connectionLost(reason)
         self.watch.connection_lost(self)
 
 
@@ -85,6 +86,7 @@
     ) -> None:
         self.reactor, self.address, self.seq = reactor, address, seq
         self.deadlines, self.on_update, self.rng = deadlines, on_update, rng
+        self.output_limits = OutputLimits(deadlines)
         self.connection: WatchConnection | None = None
         self.current_attempt: _ConnectAttempt | None = None
         self.connector: Any = None
--- a/cloverhinge/net/buffered.py
+++ b/cloverhinge/net/buffered.py
@@ -5,28 +5,32 @@
 import socket
 from typing import Any
 
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import LineReceiver
-from zope.interface import implementer
+from twisted.python.failure import Failure
+
+from cloverhinge.core.deadlines import DeadlineKey
+from cloverhinge.net.output import STALL_TIMEOUT_MS, Output, OutputLimits
 
 MAX_MESSAGE_BYTES = 16 * 1024  # of one message, headers and body together
 UNREAD_GRACE_MS = 50.0  # time for the reactor to read data that is already in a socket's buffer
 
 
-@implementer(IPushProducer)
 class BufferedReceiver(LineReceiver):
     """Implements LineReceiver's interface (`lineReceived`, `rawDataReceived`, the modes) on one `bytearray`.
 
     The buffer grows as needed and is compacted once per chunk of input, after all complete lines and raw
     pieces in it have been delivered.  In raw mode `rawDataReceived` gets exactly `expected` bytes, in one
     piece.  Neither buffer grows without bound: more than `MAX_LENGTH` undelivered bytes lead to a call of
-    `oversized`, and the connection to a peer that doesn't read is aborted once the transport's write buffer
-    is full.
+    `oversized`, and `Output` bounds what waits to be sent.
     """
 
     MAX_LENGTH = MAX_MESSAGE_BYTES
 
-    def __init__(self) -> None:
+    def __init__(self, limits: OutputLimits) -> None:
+        self.output = Output(limits, self.drop, self.output_blocked_changed)
+        self.unsent: list[bytes] = []  # what was never handed to the transport when the connection ended
+        self._close_deadline: DeadlineKey | None = None
         self.buffer = bytearray()
         self.expected = 0
         self.gone = False  # the connection is closed, or closing
@@ -35,17 +39,15 @@
     def connectionMade(self) -> None:
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        transport.registerProducer(self, True)
-
-    def pauseProducing(self) -> None:
-        """Abort the connection: the transport's write buffer is full."""
-        self.drop()
+        self.output.open(transport)
 
-    def resumeProducing(self) -> None:
-        pass
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.gone = True
+        self.output.limits.deadlines.cancel(self._close_deadline)
+        self.unsent += self.output.discard()
 
-    def stopProducing(self) -> None:
-        pass
+    def output_blocked_changed(self) -> None:
+        """Called when `output.blocked` has changed."""
 
     def dataReceived(self, data: bytes) -> None:
         self.buffer += data
@@ -102,20 +104,26 @@
     def drop(self) -> None:
         """Abort the connection at once; nothing more is read from it."""
         self.gone = True
+        self.unsent += self.output.discard()
         transport: Any = self.transport
         if transport is not None:
             transport.abortConnection()
 
     def close(self) -> None:
-        """Close the connection once everything written has been sent; nothing more is read from it."""
+        """Close the connection once everything written has been sent; nothing more is read from it.
+
+        A peer that does not read it is cut off after `STALL_TIMEOUT_MS`.
+        """
+        if self.gone:
+            return
         self.gone = True
         transport: Any = self.transport
         if transport is not None:
-            transport.unregisterProducer()
+            self.output.finish()
+            self._close_deadline = self.output.limits.deadlines.after(STALL_TIMEOUT_MS, self.drop)
             transport.loseConnection()
 
     def send(self, data: bytes) -> None:
         """Write `data`, or discard it if the connection is closed."""
-        transport: Any = self.transport
-        if not self.gone and transport is not None:
-            transport.write(data)
+        if not self.gone:
+            self.output.send(data)
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -39,6 +39,9 @@
 )
 BACKLOG = 256
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)  # that the process handles
+BYTES_PER_MB = 1 << 20
+CLIENT_OUTPUT_SHARE = 1 / 8  # of the memory limit, for answers that clients have not read yet
+SERVER_OUTPUT_SHARE = 1 / 16  # of the memory limit, for what media servers have not read yet
 PUBLISH_PERIOD_MS = 1000.0  # interval at which the facts for other routers are updated
 
 reactor: Any = _reactor
@@ -82,6 +85,7 @@
             config.connect_ms,
             config.idle_ms,
             config.sockets,
+            max_waiting_bytes=int(config.memory_mb * BYTES_PER_MB * SERVER_OUTPUT_SHARE),
         )
         self.front = RtspFrontend(
             self.router,
@@ -89,6 +93,7 @@
             self.clock,
             self.deadlines,
             max_connections=config.sockets * 3 // 8,
+            max_waiting_bytes=int(config.memory_mb * BYTES_PER_MB * CLIENT_OUTPUT_SHARE),
         )
         self.servers: dict[int, ServerAddress] = {}
         self.discovery = DiscoveryWatch(
@@ -214,7 +219,9 @@
             if self.operations is not None:
                 commands |= self.operations.commands()
             admin = reactor.listenTCP(
-                self.site.admin[1], AdminFactory(self.status, commands), interface=self.site.admin[0]
+                self.site.admin[1],
+                AdminFactory(self.deadlines, self.status, commands),
+                interface=self.site.admin[0],
             )
             self.log.info(
                 "{name}: admin on 127.0.0.1:{port}", name=self.config.name, port=admin.getHost().port
--- a/cloverhinge/operations/admin.py
+++ b/cloverhinge/operations/admin.py
@@ -12,10 +12,12 @@
 from twisted.internet.protocol import ServerFactory
 
 from cloverhinge.core import invariants
+from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.model import State
 from cloverhinge.core.router import Router
 from cloverhinge.discovery.updates import ServerAddress
 from cloverhinge.net.buffered import BufferedReceiver
+from cloverhinge.net.output import OutputLimits
 from cloverhinge.rtsp.media_servers import MediaServers
 
 MAX_SESSIONS_SHOWN = 100  # sessions listed; their number is always exact
@@ -88,7 +90,7 @@
     delimiter = b"\n"
 
     def __init__(self, admin: AdminFactory) -> None:
-        super().__init__()
+        super().__init__(admin.output_limits)
         self.admin = admin
 
     def connectionMade(self) -> None:
@@ -96,12 +98,9 @@
         self.admin.connections += 1
 
     def connectionLost(self, reason: Any = None) -> None:
-        self.gone = True
+        super().connectionLost(reason)
         self.admin.connections -= 1
 
-    def pauseProducing(self) -> None:
-        pass  # an answer may exceed the transport's buffer, but its length is bounded
-
     def lineReceived(self, line: bytes) -> None:
         command, _, argument = line.decode("utf-8", "replace").strip().partition(" ")
         if command == "status" and not argument:
@@ -120,9 +119,11 @@
 
     def __init__(
         self,
+        deadlines: Deadlines,
         status: Callable[[], dict[str, Any]],
         commands: dict[str, Callable[[str], dict[str, Any]]] | None = None,
     ) -> None:
+        self.output_limits = OutputLimits(deadlines)
         self.status, self.commands, self.connections = status, commands or {}, 0
 
     def buildProtocol(self, addr: Any) -> AdminConnection | None:
--- a/cloverhinge/operations/command_server.py
+++ b/cloverhinge/operations/command_server.py
@@ -10,6 +10,7 @@
 
 from cloverhinge.core.deadlines import DeadlineKey, Deadlines
 from cloverhinge.net.buffered import BufferedReceiver
+from cloverhinge.net.output import OutputLimits
 from cloverhinge.operations.commands import MAX_LINE_BYTES, nak
 
 MAX_PENDING_CONNECTIONS = 16  # open connections that have not sent a whole command
@@ -24,7 +25,7 @@
     delimiter = b"\n"
 
     def __init__(self, server: CommandServer) -> None:
-        super().__init__()
+        super().__init__(server.output_limits)
         self.server = server
         self.idle_timer: DeadlineKey | None = None
 
@@ -46,7 +47,7 @@
         self.close()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.gone = True
+        super().connectionLost(reason)
         self.server.deadlines.cancel(self.idle_timer)
         self.server.remove_pending(self)
 
@@ -63,6 +64,7 @@
         max_pending: int = MAX_PENDING_CONNECTIONS,
     ) -> None:
         self.execute, self.deadlines, self.max_pending = execute, deadlines, max_pending
+        self.output_limits = OutputLimits(deadlines)
         # Connections that have not sent a whole command yet, oldest first.
         self.pending: dict[CommandConnection, None] = {}
 
--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -41,14 +41,14 @@
     """A connection from one or more clients."""
 
     def __init__(self, front: RtspFrontend, peer: str) -> None:
-        super().__init__()
+        super().__init__(front.output_limits)
         self.front, self.peer = front, peer
         self.handle = 0
         self.rank: dict[int, ClientConnection] = front.awaiting_message
         self.unanswered: dict[str, Request] = {}  # open set-ups to answer on this connection, by session id
         self.queue = SetUpQueue()  # set-ups that have been read but not begun
-        self.paused = False  # whether reading is paused because the queue is full
-        self.established_sessions = 0  # number of established sessions that were set up here
+        self.paused = False  # whether reading is paused
+        self.established_sessions: int = 0  # number of established sessions that were set up here
         self.has_sent_message = False  # whether a complete message has been received
         self.opened_ms = 0.0  # when the connection was accepted
         self.last_message_ms = 0.0  # when its last complete message was received
@@ -67,13 +67,17 @@
         elif self.partial_since_ms is None:
             self.partial_since_ms = self.front.clock.now()
         self.front.scheduler.offer(self)
-        if self.queue.full and not self.gone:
-            self._set_paused(True)
+        self._pause_or_resume_reading()
 
-    def _set_paused(self, paused: bool) -> None:
-        """Pause or resume reading, so that a flood on one connection takes bounded memory."""
-        transport: Any = self.transport
-        if paused != self.paused:
+    def output_blocked_changed(self) -> None:
+        """Read nothing more from a client that does not read its answers."""
+        self._pause_or_resume_reading()
+
+    def _pause_or_resume_reading(self) -> None:
+        """Read while there is room for set-ups and for answers, so that a flood takes bounded memory."""
+        paused = self.queue.full or self.output.blocked
+        if paused != self.paused and not self.gone:
+            transport: Any = self.transport
             self.paused = paused
             (transport.stopReading if paused else transport.startReading)()
 
@@ -93,8 +97,7 @@
             report_exception("a set-up is begun")
             self.front.fail_unregistered(self, set_up)
         self.front.update_rank(self)
-        if not self.queue.full and not self.gone:
-            self._set_paused(False)
+        self._pause_or_resume_reading()
 
     @staticmethod
     def _wait_ms(message: messages.Message) -> float:
@@ -154,7 +157,7 @@
     def half_close(self) -> None:
         """Close the sending side; data is still read until the client closes too."""
         transport: Any = self.transport
-        transport.unregisterProducer()
+        self.output.finish()
         transport.loseWriteConnection()
 
     def overdue(self, now: float) -> bool:
@@ -206,5 +209,5 @@
             raise messages.MalformedMessage("unknown method", 501)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.gone = True
+        super().connectionLost(reason)
         self.front.connection_closed(self)
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -18,6 +18,7 @@
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.discovery.updates import server_number
+from cloverhinge.net.output import DEFAULT_MAX_WAITING_BYTES, OutputLimits
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.client import RtspClient
 from cloverhinge.rtsp.client_connection import ClientConnection, Delivery
@@ -42,8 +43,16 @@
     noisy = False
 
     def __init__(
-        self, router: Router, servers: ServerPort, clock: Clock, deadlines: Deadlines, max_connections: int
+        self,
+        router: Router,
+        servers: ServerPort,
+        clock: Clock,
+        deadlines: Deadlines,
+        max_connections: int,
+        max_waiting_bytes: int = DEFAULT_MAX_WAITING_BYTES,
     ) -> None:
+        """`max_waiting_bytes`: of answers that wait for clients to read, on all connections together."""
+        self.output_limits = OutputLimits(deadlines, max_waiting_bytes)
         self.router, self.servers, self.clock, self.deadlines = router, servers, clock, deadlines
         self.connections: SlotTable[ClientConnection] = SlotTable(max_connections)
         self.scheduler = SetUpScheduler(deadlines)
@@ -135,10 +144,10 @@
         self._deliver_again(connection)
 
     def _deliver_again(self, connection: ClientConnection) -> None:
-        """Deliver on another connection what may have crossed the close of this one."""
+        """Deliver on another connection what may have crossed the close of this one, or was never sent."""
         since_ms = self.clock.now() - CROSSING_MS
         for delivery in connection.deliveries:
-            if delivery.sent_ms >= since_ms:
+            if delivery.sent_ms >= since_ms or delivery.data in connection.unsent:
                 self.deliver(delivery.client, delivery.data)
 
     def set_up(self, connection: ClientConnection, received: ReceivedSetUp) -> None:
--- a/cloverhinge/rtsp/media_servers.py
+++ b/cloverhinge/rtsp/media_servers.py
@@ -20,6 +20,7 @@
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.interface import Outcome
 from cloverhinge.discovery.updates import ServerAddress
+from cloverhinge.net.output import DEFAULT_MAX_WAITING_BYTES, OutputLimits
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.server_connection import Probe
 from cloverhinge.rtsp.server_liveness import ServerLiveness
@@ -45,7 +46,10 @@
         connect_ms: float,
         idle_ms: float,
         sockets: int,
+        max_waiting_bytes: int = DEFAULT_MAX_WAITING_BYTES,
     ) -> None:
+        """`max_waiting_bytes`: of what waits for media servers to read, on all connections together."""
+        self.output_limits = OutputLimits(deadlines, max_waiting_bytes)
         self.reactor, self.router, self.clock, self.deadlines = reactor, router, clock, deadlines
         self.connect_ms, self.idle_ms, self.sockets = connect_ms, idle_ms, sockets
         self.pools: dict[int, ServerPool] = {}
--- a/cloverhinge/rtsp/messages.py
+++ b/cloverhinge/rtsp/messages.py
@@ -7,6 +7,7 @@
 
 from cloverhinge.core.containment import report_exception
 from cloverhinge.net.buffered import MAX_MESSAGE_BYTES, BufferedReceiver
+from cloverhinge.net.output import OutputLimits
 
 VERSION = "RTSP/1.0"
 MAX_HEADERS = 64
@@ -154,8 +155,8 @@
     Invalid input is answered with an error status, and the connection is closed.
     """
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, limits: OutputLimits) -> None:
+        super().__init__(limits)
         self.message: Message | None = None
         self.message_bytes = 0
 
--- a/cloverhinge/rtsp/server_connection.py
+++ b/cloverhinge/rtsp/server_connection.py
@@ -35,7 +35,7 @@
     """A connection to a media server; passes its messages to the pool."""
 
     def __init__(self, pool: ServerPool) -> None:
-        super().__init__()
+        super().__init__(pool.servers.output_limits)
         self.pool = pool
         self.opened_ms = self.last_set_up_ms = self.last_traffic_ms = 0.0  # the last: in either direction
         self.half_closed_ms: float | None = None  # when it was half-closed
@@ -89,6 +89,11 @@
         else:
             self.drop()
 
+    def output_blocked_changed(self) -> None:
+        """Send what waits for a connection that takes it."""
+        if not self.output.blocked:
+            self.pool.flush()
+
     def received(self, message: messages.Message) -> None:
         self.complete_messages.append(message)
 
@@ -106,7 +111,7 @@
         self.drop()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.gone = True
+        super().connectionLost(reason)
         self.pool.servers.deadlines.cancel(self.partial_deadline)
         self.pool.was_reset = self.pool.was_reset or reason.check(ConnectionLost) is not None
         self.pool.connection_closed(self, orderly=reason.check(ConnectionDone) is not None)
--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -239,15 +239,16 @@
     def flush(self) -> None:
         """Send what waits, each on a connection of its own; they are shared once the limit is reached."""
         while self.waiting:
-            connection = next((x for x in self.connections if not x.attempts and not x.mid_message), None)
+            usable = [x for x in self.connections if not x.output.blocked]
+            connection = next((x for x in usable if not x.attempts and not x.mid_message), None)
             if connection is None and len(self.connections) + self.opening < self.servers.max_connections():
                 if self.opening < len(self.waiting):
                     self.open()
                 return
-            if connection is None and self.opening:
+            if connection is None and (self.opening or not usable):
                 return
             if connection is None:
-                connection = min(self.connections, key=lambda x: len(x.attempts))
+                connection = min(usable, key=lambda x: len(x.attempts))
             self.write(connection, self.waiting.pop(0))
 
     def send_on_any(self, data: bytes) -> None:
@@ -258,7 +259,8 @@
         """
         writable = self.connections or [x for x in self.retiring if x.half_closed_ms is None and not x.gone]
         if writable:
-            writable[0].send(data)
+            unblocked = [x for x in writable if not x.output.blocked]
+            (unblocked or writable)[0].send(data)
             return
         self.unsent.append(data)
         if not self.opening and self.servers.clock.now() >= self.retry_at_ms:
--- a/tests/test_rtsp.py
+++ b/tests/test_rtsp.py
@@ -8,6 +8,9 @@
 from hypothesis import strategies as st
 from twisted.internet.testing import StringTransport
 
+from cloverhinge.core.clock import ManualClock
+from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.net.output import OutputLimits
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.set_up import parse_set_up
 
@@ -38,7 +41,7 @@
 
 class Reader(messages.RtspProtocol):
     def __init__(self) -> None:
-        super().__init__()
+        super().__init__(OutputLimits(Deadlines(ManualClock())))
         self.seen: list[messages.Message] = []
         transport: Any = Transport
         self.connect(transport())
