Core, RTSP: the request table and the media servers' messages have modules of their own

Change: core/request_table.py holds requests and sessions under all of their keys and counts seats; rtsp/server_inbound.py processes what a media server sends, one function a kind of message. No behaviour changes.

--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -32,8 +32,8 @@
     Tally,
 )
 from cloverhinge.core.request_log import RequestLog
+from cloverhinge.core.request_table import RequestTable
 from cloverhinge.core.server_listings import ServerListings
-from cloverhinge.core.slots import SlotTable
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.interface import Effect, Outcome
 from cloverhinge.decision.logic import Controller
@@ -74,10 +74,11 @@
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
         self.classes = {service_class.name: service_class for service_class in settings.classes}
         self.controller = Controller(settings, seed)
-        self.requests: SlotTable[Request] = SlotTable(max_requests)
-        self.by_session_id: dict[str, Request] = {}
-        self.by_title: dict[str, set[Request]] = {}
-        self.established: dict[int, dict[int, Request]] = {}  # by server, then by handle
+        self._table = RequestTable(max_requests)
+        self.requests = self._table.slots
+        self.by_session_id = self._table.by_session_id
+        self.by_title = self._table.by_title
+        self.established = self._table.established  # by server, then by handle
         self.servers = ServerListings()
         self.listings = self.servers.listings  # servers in maintenance mode are listed as draining
         self.maintenance = self.servers.maintenance  # servers that an operator put in maintenance mode
@@ -240,9 +241,7 @@
             max(now_ms, min(now_ms + set_up.wait_ms - ANSWER_MARGIN_MS, self.answer_until_ms)),
             self.counters.tallies[set_up.class_name],
         )
-        request.handle = self.requests.put(request)
-        self.by_session_id[set_up.session_id] = request
-        self.by_title.setdefault(set_up.title, set()).add(request)
+        self._table.add(request)
         return request
 
     def _session_requested(self, request: Request, server: int | None = None) -> api.SessionRequested:
@@ -388,25 +387,13 @@
 
     def _may_attempt(self, request: Request, server: int) -> bool:
         service_class = request.service_class
-        has_seat = (
-            not service_class.seats
-            or 1
-            + sum(
-                1
-                for other in self.by_title[request.set_up.title]
-                if other is not request
-                and other.service_class is service_class
-                and (other.state is State.ESTABLISHED or other.attempt is not None)
-            )
-            <= service_class.seats
-        )
         return (
             check_invariant(request.attempt is None, "one attempt out at a time")
             and check_invariant(
                 not (request.may_have_run and service_class.effect is Effect.ONCE), "paid set-up sent once"
             )
             and check_invariant(request.attempts <= self.settings.max_attempts, "attempts within the limit")
-            and check_invariant(has_seat, "sessions within the seats")
+            and check_invariant(self._table.has_seat(request), "sessions within the seats")
             and self.sendable(server)
         )
 
@@ -548,14 +535,7 @@
         self.on_concluded()
 
     def _drop(self, request: Request) -> None:
-        request.state = State.OVER
-        self.requests.free(request.handle)
-        if self.by_session_id.get(request.set_up.session_id) is request:
-            del self.by_session_id[request.set_up.session_id]
-        same_title = self.by_title[request.set_up.title]
-        same_title.remove(request)
-        if not same_title:
-            del self.by_title[request.set_up.title]
+        self._table.remove(request)
         if self.admission is not None:
             with contained("admission is told of a request's end"):
                 self.admission.ended(request)
@@ -612,9 +592,7 @@
     # Established sessions
 
     def _establish(self, request: Request, server: int) -> None:
-        request.state, request.server = State.ESTABLISHED, server
-        request.established_ms = self.clock.now()
-        self.established.setdefault(server, {})[request.handle] = request
+        self._table.establish(request, server, self.clock.now())
         if self.admission is not None:
             with contained("admission is told of a session"):
                 self.admission.established(request)
@@ -634,10 +612,9 @@
 
     def cut_all(self, server: int, established_before_ms: float = math.inf) -> None:
         """End the sessions at a lost media server that were established before a Unix time."""
-        for request in list(self.established.get(server, {}).values()):
-            if request.established_ms < established_before_ms:
-                with contained("a session is cut"):
-                    self.cut(request)
+        for request in self._table.established_before(server, established_before_ms):
+            with contained("a session is cut"):
+                self.cut(request)
 
     def _move(self, handle: int) -> None:
         request = self.requests.get(handle)
@@ -660,10 +637,6 @@
         self._log(request, "session ended", server=server, outcome=outcome.value)
         self.counters.ended += 1
         self._drop(request)
-        at_server = self.established.get(server, {})
-        at_server.pop(request.handle, None)
-        if not at_server:
-            self.established.pop(server, None)
         if tell_server and self.ownership is None:
             request.servers.release(request, CAUSES[outcome])
         elif tell_server and self.ownership is not None:
--- a/cloverhinge/rtsp/server_connection.py
+++ b/cloverhinge/rtsp/server_connection.py
@@ -14,6 +14,7 @@
 from cloverhinge.core.model import Attempt
 from cloverhinge.net.buffered import UNREAD_GRACE_MS
 from cloverhinge.rtsp import messages
+from cloverhinge.rtsp.server_inbound import handle_message
 
 if TYPE_CHECKING:
     from cloverhinge.rtsp.server_pool import ServerPool
@@ -36,8 +37,10 @@
 
     def __init__(self, pool: ServerPool) -> None:
         super().__init__(pool.servers.output_limits)
-        self.pool = pool
-        self.opened_ms = self.last_set_up_ms = self.last_traffic_ms = 0.0  # the last: in either direction
+        self.pool: ServerPool = pool
+        self.opened_ms: float = 0.0
+        self.last_set_up_ms: float = 0.0
+        self.last_traffic_ms: float = 0.0  # in either direction
         self.half_closed_ms: float | None = None  # when it was half-closed
         self.attempts: dict[str, Attempt] = {}
         self.probes: dict[str, Probe] = {}
@@ -70,7 +73,7 @@
         whole, self.complete_messages = self.complete_messages, []
         for message in whole:
             try:
-                self.pool.handle_message(self, message)
+                handle_message(self, message)
             except messages.MalformedMessage as error:
                 self.malformed(error, message)
             except Exception:
--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -15,13 +15,13 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from cloverhinge.core.model import Attempt, Cause, State
+from cloverhinge.core.model import Attempt, Cause
 from cloverhinge.decision.interface import Outcome
 from cloverhinge.discovery.updates import ServerAddress
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.server_connection import Probe, ServerConnection
 from cloverhinge.rtsp.server_liveness import ServerLiveness, Verdict
-from cloverhinge.rtsp.server_messages import encode_release, parse_load_report, parse_session_event
+from cloverhinge.rtsp.server_messages import encode_release
 
 if TYPE_CHECKING:
     from cloverhinge.rtsp.media_servers import MediaServers
@@ -33,8 +33,6 @@
 HALF_CLOSED_TIMEOUT_MS = 1500.0  # how long a retired connection is read after it was half-closed
 SPARE_TIMEOUT_MS = 5000.0  # a connection beyond the first is closed after this long without a set-up
 MAX_UNSENT = 256  # messages queued for an unreachable server; beyond it the oldest is discarded
-OUTCOME_BY_STATUS = {453: Outcome.FULL, 454: Outcome.MOOT, 504: Outcome.RESET}
-OUTCOME_BY_CAUSE = {"16": Outcome.SERVED, "31": Outcome.CANCELLED, "41": Outcome.RESET}
 
 
 class _ConnectAttempt(ClientFactory):
@@ -270,70 +268,6 @@
         """The retiring connections, then those in use."""
         return self.retiring + self.connections
 
-    def handle_message(self, connection: ServerConnection, message: messages.Message) -> None:
-        """Process a message of the server.  Raises MalformedMessage if one of its values is invalid."""
-        now = self.servers.clock.now()
-        connection.last_traffic_ms = now
-        self.liveness.heard(connection.opened_ms, now)
-        if message.status:
-            self.handle_response(connection, message)
-        else:
-            self.handle_request(connection, message)
-        self.flush()
-
-    def handle_response(self, connection: ServerConnection, message: messages.Message) -> None:
-        """Process the answer to a probe or a set-up; other answers need no action."""
-        session_id, router = message.session_id, self.servers.router
-        if (probe := connection.probes.get(session_id)) is not None:
-            passed = message.status == 200
-            if message.status >= 200:
-                self.servers.probe_ended(
-                    probe, Outcome.SERVED if passed else Outcome.ERROR, parse_load_report(message)
-                )
-            return
-        if message.status < 200 or message.headers.get("cseq") != "1":
-            return  # a provisional answer, or one to another request than a set-up
-        attempt = connection.attempts.pop(session_id, None)
-        if message.status != 200:
-            if attempt is not None:
-                outcome = OUTCOME_BY_STATUS.get(message.status, Outcome.ERROR)
-                router.attempt_ended(attempt, outcome, parse_load_report(message))
-        elif attempt is None or not router.answered(attempt, message.body):
-            # The set-up was given up while its answer was in flight: no router owns the session; release it.
-            request = router.by_session_id.get(session_id)
-            if (request is None or request.server != self.address.number) and not self.servers.is_handed_over(
-                session_id
-            ):
-                self.send_on_any(encode_release(session_id, Cause.CANCELLED))
-
-    def handle_request(self, connection: ServerConnection, message: messages.Message) -> None:
-        """Process a release, an event of a session, or a ping of the server."""
-        session_id, router = message.session_id, self.servers.router
-        request = router.by_session_id.get(session_id)
-        if request is not None and request.server == self.address.number:
-            self.liveness.session_heard(request.established_ms, self.servers.clock.now())
-        if message.method == "TEARDOWN":
-            connection.send(messages.encode_response(200, message.headers.get("cseq", "2"), session_id))
-            cause = message.headers.get("reason", "").partition("cause=")[2].strip()
-            outcome = OUTCOME_BY_CAUSE.get(cause, Outcome.RESET)
-            attempt = connection.attempts.pop(session_id, None)
-            if attempt is not None:
-                router.attempt_ended(attempt, Outcome.RESET, parse_load_report(message))
-            elif request is not None and request.server == self.address.number:
-                router.session_ended(request, outcome, parse_load_report(message))
-        elif message.method == "ANNOUNCE":
-            if (
-                request is not None
-                and request.state is State.ESTABLISHED
-                and request.server == self.address.number
-            ):
-                rung_count = len(router.settings.ladder_kb)
-                event = parse_session_event(message, request, self.address.number, rung_count)
-                if event is not None:
-                    router.session_event(request, event)
-        elif message.method == "OPTIONS":
-            connection.send(messages.encode_response(200, message.headers.get("cseq", "3"), session_id))
-
     def sweep(self, now: float) -> None:
         """Close idle connections, open missing ones, and detect a server that has become silent."""
         for connection in list(self.retiring):
