Core: the decision module hears of every end, also of one that comes late or raises

Cause: Router._overdue dropped the request and sent ViewerLeft, which the module ignores for a session with a server, and never AttemptEnded. In _end, answered and _conclude_by_core the module was told behind calls to clients and media servers, so that an exception there had the same effect; a decision that raised half-way too.

Change: _overdue reports the attempt's end; the calls to clients and servers are contained; the conclusion of an undecided request is told as an attempt that never ran.

--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -51,6 +51,7 @@
 # A request that has less time than this left when the process ends is refused, as its attempt would be
 # given up.
 MIN_SET_UP_MS = 100.0
+NO_SERVER = -1  # no media server has this number
 UNDECIDED_RETRY_MS = 1000.0  # retry-after of a request whose decision has failed
 SHUTDOWN_RETRY_MS = 1000.0  # retry-after of a request that a shutdown ends: a restart takes about as long
 # A give-up reaches the media server within this time; only then may the next attempt be sent.
@@ -136,6 +137,8 @@
         if request is not None and request.state is State.OPEN and request.attempt is None:
             failure = None if request.service_class.may_refuse(request.may_have_run) else Outcome.ERROR
             self._conclude_by_core(request, failure, UNDECIDED_RETRY_MS, Outcome.MOOT)
+            # The module may count on an attempt that it has not asked for.
+            self.dispatch(api.AttemptEnded(handle, request.attempts, NO_SERVER, Outcome.MOOT, True, 0))
 
     def _execute(self, action: api.Action) -> None:
         match action:
@@ -348,10 +351,11 @@
         else:
             request.tally.shed += 1
         self._conclude(request)
-        if failure is not None:
-            request.client.failed(failure)
-        else:
-            request.client.refused(retry_after_ms if self.settings.retry_after else 0.0)
+        with contained("a client is told of a conclusion"):
+            if failure is not None:
+                request.client.failed(failure)
+            else:
+                request.client.refused(retry_after_ms if self.settings.retry_after else 0.0)
         self.dispatch(api.ViewerLeft(request.handle))
         if attempt is not None:
             self._report_ended(attempt, attempt_outcome, concluded=True)
@@ -463,7 +467,8 @@
                 self._report_ended(attempt, Outcome.CONNECT_FAILED, False)
 
     def _give_up(self, attempt: Attempt) -> None:
-        attempt.request.servers.give_up(attempt)
+        with contained("an attempt is given up"):
+            attempt.request.servers.give_up(attempt)
 
     def _report_ended(
         self, attempt: Attempt, outcome: Outcome, concluded: bool, report: api.LoadReport | None = None
@@ -511,10 +516,11 @@
         self._establish(request, attempt.server)
         request.tally.ok += 1
         self._log(request, "served", server=attempt.server)
-        if self.ownership is None:
-            request.client.served(answer)
-        else:
-            self.ownership.established(request, answer)
+        with contained("a client is told of its session"):
+            if self.ownership is None:
+                request.client.served(answer)
+            else:
+                self.ownership.established(request, answer)
         self.dispatch(api.SessionStarted(request.handle, attempt.server, attempt.number))
         return True
 
@@ -586,8 +592,11 @@
         if request.state is State.OPEN:
             # Where the process had too little time, the end of the last attempt may have come late.
             check_invariant(self.deadlines.late_within(OVERLOAD_MS), "answered before its time is up")
+            attempt = request.attempt
             self._fail(request.handle)
             self.dispatch(api.ViewerLeft(request.handle))
+            if attempt is not None:
+                self._report_ended(attempt, Outcome.TIMEOUT, concluded=True)
 
     # Established sessions
 
@@ -637,12 +646,14 @@
         self._log(request, "session ended", server=server, outcome=outcome.value)
         self.counters.ended += 1
         self._drop(request)
-        if tell_server and self.ownership is None:
-            request.servers.release(request, CAUSES[outcome])
-        elif tell_server and self.ownership is not None:
-            self.ownership.release(request, CAUSES[outcome])
-        if tell_client:
-            request.client.released(CAUSES.get(outcome, Cause.CUT))
+        with contained("a media server is told of a session's end"):
+            if tell_server and self.ownership is None:
+                request.servers.release(request, CAUSES[outcome])
+            elif tell_server and self.ownership is not None:
+                self.ownership.release(request, CAUSES[outcome])
+        with contained("a client is told of its session's end"):
+            if tell_client:
+                request.client.released(CAUSES.get(outcome, Cause.CUT))
         self.dispatch(
             api.AttemptEnded(
                 request.handle,
--- a/tests/raising_router.py
+++ b/tests/raising_router.py
@@ -58,6 +58,10 @@
     "the decision": lambda: _patch(
         Controller, "session_requested", lambda _, event: event.title, first=False
     ),
+    "the choice": lambda: _patch(Controller, "send_attempt", lambda _, session: session.request.title),
+    "the booking": lambda: _patch(
+        Controller, "send_attempt", lambda _, session: session.request.title, first=False
+    ),
     "admission's arrival": lambda: _patch(gateway.AdmissionGateway, "arrive", _title_of_request),
     "admission's refusal": lambda: _patch(Router, "reject", _title_of_request),
     "admission's account": lambda: _patch(gateway.AdmissionGateway, "established", _title_of_request),
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -325,3 +325,16 @@
         assert deadlines.late_within(100.0) is late
     clock.advance(101.0)
     assert not deadlines.late_within(100.0)
+
+
+# Guards against a seat and a load that stay taken after a request was answered late with an attempt out.
+def test_a_request_that_is_failed_with_an_attempt_out_leaves_nothing_behind() -> None:
+    harness = Stand()
+    request = harness.take(SEATED.name)
+    assert harness.router.may_write(harness.sent[0])
+    harness.pass_ms(10_000.0)  # the ends of the attempt and of the request come in one late run
+    assert request.state is State.OVER and harness.finals() == ["failed"]
+    assert not harness.router.controller.sessions
+    assert all(server.link.booked == 0.0 for server in harness.router.controller.fleet.servers.values())
+    later = harness.take(SEATED.name)
+    assert later.state is State.OPEN and len(harness.sent) == 2, "its seat is free"
