Media servers: connections that are renewed or half-closed prove life as well

Cause: found in reading again. While discovery is not heard, sessions at a server that sends nothing were cut when their idle connection was renewed: the old one, half-closed by the router, no longer counted as one from before, and a server that leaves it half-closed sends no orderly close. Seen in virtual time: a server with one session, silent for a minute, was taken for restarted at the first renewal.

--- a/cloverhinge/rtsp/server_liveness.py
+++ b/cloverhinge/rtsp/server_liveness.py
@@ -67,6 +67,15 @@
         if self.is_before_successor(opened_ms):
             self._prove(now)
 
+    def stayed_open(self, opened_ms: float, sent_ms: float, now: float) -> None:
+        """A connection that came up at `opened_ms` was not reset by what was sent on it at `sent_ms`.
+
+        This shows life only if the server could be reached at that time.
+        """
+        reachable = self.last_sign_ms > sent_ms - RECONNECT_GRACE_MS
+        if reachable and self.is_before_successor(opened_ms):
+            self._prove(now)
+
     def session_heard(self, established_ms: float, now: float) -> None:
         """A message about a session was received that is established since `established_ms`."""
         if self.is_before_successor(established_ms):
--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -273,6 +273,7 @@
         for connection in list(self.retiring):
             if connection.half_closed_ms is not None:
                 if now - connection.half_closed_ms > HALF_CLOSED_TIMEOUT_MS:
+                    self.liveness.stayed_open(connection.opened_ms, connection.half_closed_ms, now)
                     connection.drop()
             elif not connection.attempts and not connection.probes:
                 connection.half_closed_ms = now
@@ -321,16 +322,14 @@
                 self._lose_sessions("may have restarted", self.liveness.accept_successor(now))
 
     def _old_connections(self) -> list[ServerConnection]:
-        """The open connections from before the last silence."""
+        """The connections from before the last silence that have not ended, half-closed ones included."""
         return [
-            x
-            for x in self.all_connections()
-            if x.half_closed_ms is None and not x.gone and self.liveness.is_before_successor(x.opened_ms)
+            x for x in self.all_connections() if not x.gone and self.liveness.is_before_successor(x.opened_ms)
         ]
 
     def _ping(self, connections: list[ServerConnection]) -> None:
         if self.servers.router.settings.may_probe:
-            for connection in connections:
+            for connection in (x for x in connections if x.half_closed_ms is None):
                 self.servers.router.counters.probes += 1
                 connection.send(
                     messages.encode_request("OPTIONS", "rtsp://media/ping", 3, self.servers.next_probe_id())
--- a/tests/test_server_restarts.py
+++ b/tests/test_server_restarts.py
@@ -53,6 +53,22 @@
     connection.connectionLost(Failure(error))
 
 
+# Guards against sessions that are cut at a server that leaves renewed connections half-closed.
+def test_sessions_are_kept_while_idle_connections_are_renewed_and_the_list_is_not_heard() -> None:
+    harness = Harness(2)
+    harness.servers.list_is_current = lambda: False
+    client = harness.adopt(1)
+    harness.advance(500)
+    harness.open_connection()
+    opened = len(harness.reactor.factories)
+    for _ in range(600):  # a minute, in which checks and renewals come up at once, and nothing is ever sent
+        harness.advance(100)
+        if len(harness.reactor.factories) > opened:
+            harness.open_connection()
+            opened = len(harness.reactor.factories)
+    assert client.released_with is None
+
+
 # Guards against a connection that comes up being taken for a sign that the sessions from before still stand.
 def test_sessions_are_cut_when_the_old_connection_is_reset_and_the_list_is_not_heard() -> None:
     harness = Harness(2)
