Connections: one that has ended is freed at once

Cause: since an Output holds its connection's drop, and the connection its Output, so that each ended connection stayed in memory until a full collection. A probe showed it: with the collector off the connection is not freed.

Change: Output lets go of its connection when that has ended.

--- a/cloverhinge/net/output.py
+++ b/cloverhinge/net/output.py
@@ -41,6 +41,10 @@
             next(iter(self.blocked)).drop()
 
 
+def _nothing() -> None:
+    """Stands in for the calls to a connection that has ended."""
+
+
 @implementer(IPushProducer)
 class Output:
     """The sending side of one connection; the transport's producer."""
@@ -84,6 +88,7 @@
         """Write nothing more; return what was never handed to the transport."""
         self._transport = None
         self._unblock()
+        self._drop = self._blocked_changed = _nothing  # no cycle keeps the connection until a collection
         unsent = list(self.waiting)
         while self.waiting:
             self._take()
--- a/tests/test_output.py
+++ b/tests/test_output.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import gc
 import select
 import socket
 import time
+import weakref
 from pathlib import Path
 from typing import Any
 
@@ -24,7 +26,9 @@
     running_program,
     send_set_up,
 )
+from cloverhinge.net.buffered import BufferedReceiver
 from cloverhinge.net.output import FLUSH_GRACE_MS, STALL_TIMEOUT_MS, Output, OutputLimits
+from tests.test_rtsp import Transport as ConnectionTransport
 
 SETTINGS_WITH_ROOM = {"placesByKind": [2000], "weightKb": 1e6, "rackLinkKb": 1e7}
 MAX_DESCRIPTION_BYTES = 16_000  # a message holds 16 KiB
@@ -232,3 +236,19 @@
     assert output.discard() == [b"C" * 60, b"D" * 60, b"E" * 60]
     output.send(b"later")
     assert len(transport.buffer) == 120 and connections.limits.waiting_bytes == 0
+
+
+# Guards against ended connections that stay in memory until a full garbage collection.
+def test_an_ended_connection_is_freed_at_once() -> None:
+    connections = Connections(10_000)
+    receiver: Any = BufferedReceiver(connections.limits)
+    receiver.makeConnection(ConnectionTransport())
+    receiver.connectionLost()
+    receiver.transport = None
+    reference = weakref.ref(receiver)
+    gc.disable()
+    try:
+        del receiver
+        assert reference() is None
+    finally:
+        gc.enable()
