--- a/tests/test_output.py
+++ b/tests/test_output.py
@@ -242,7 +242,8 @@
 def test_an_ended_connection_is_freed_at_once() -> None:
     connections = Connections(10_000)
     receiver: Any = BufferedReceiver(connections.limits)
-    receiver.makeConnection(ConnectionTransport())
+    transport: Any = ConnectionTransport
+    receiver.makeConnection(transport())
     receiver.connectionLost()
     receiver.transport = None
     reference = weakref.ref(receiver)
