--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,11 +4,11 @@
 import json
 import os
 import socket
+import struct
 import sys
 import threading
 import time
 from pathlib import Path
-from urllib.parse import urlsplit
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins2 as s
@@ -66,16 +66,28 @@
         threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
 
 
-def fetch(case: s.Case, address: tuple[str, int], path: str) -> tuple[int, str]:
-    with socket.create_connection(address, 5) as sock:
-        sock.sendall(f"GET {path} HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n".encode())
-        data = b""
-        while piece := sock.recv(65536):
-            data += piece
-    head, _, text = data.partition(b"\r\n\r\n")
-    status = int(head.split()[1])
-    case.record.add("player", f"GET {path}: {status} {text.decode()!r}")
-    return status, text.decode()
+class Player:
+    """One HTTP connection of a player, kept open between its fetches."""
+
+    def __init__(self, case: s.Case, address: tuple[str, int]) -> None:
+        self.case, self.sock = case, socket.create_connection(address, 5)
+        self.reader = self.sock.makefile("rb")
+
+    def fetch(self, path: str) -> tuple[int, str]:
+        self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: router\r\n\r\n".encode())
+        status, length = int(self.reader.readline().split()[1]), 0
+        while line := self.reader.readline().strip():
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        text = self.reader.read(length).decode()
+        self.case.record.add("player", f"GET {path}: {status} {text!r}")
+        return status, text
+
+    def drop(self) -> None:
+        """The connection is reset."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.reader.close()
+        self.sock.close()
 
 
 def body(case: s.Case) -> list[str]:
@@ -102,13 +114,20 @@
     router.ready()
     path = "/play/graded-check/check-1?play=agent-17-attempt-1"
     try:
-        status, text = fetch(case, hls, path)
+        player = Player(case, hls)
+        status, text = player.fetch(path)
         if status != 200:
             raise s.CannotRun("the check was not set up")
         if s.TROUBLE:
             case.record.add("player", f"its connection drops for {AWAY_S} s")
-            time.sleep(AWAY_S)
-        status, text = fetch(case, hls, path)
+            player.drop()
+        else:
+            playlist = next(line for line in text.splitlines() if line and not line.startswith("#"))
+            if player.fetch(playlist)[0] != 200:  # the whole recording: nothing more to fetch while it plays
+                raise s.CannotRun("no playlist")
+        time.sleep(AWAY_S)
+        player = Player(case, hls)
+        player.fetch(path)
         time.sleep(0.5)
     finally:
         for one in media:
