--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,10 +1,7 @@
-"""A player fetches a paid graded check over HLS, loses its connection, and fetches again: is it set up once?"""
+"""Two routers with custody are partitioned for 6 s: are the paid checks that play still anybody's afterwards?"""
 
-import http.server
-import json
 import os
-import socket
-import struct
+import random
 import sys
 import threading
 import time
@@ -13,130 +10,139 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins2 as s
 
-AWAY_S = 40.0  # a graded check plays for 32 to 68 s
-MASTER = "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=2128000\n{0}/low.m3u8\n"
-MEDIA = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-PLAYLIST-TYPE:VOD\n" + "#EXTINF:4,\nseg.ts\n" * 15 + "#EXT-X-ENDLIST\n"
+sys.path.insert(0, str(s.ROOT))
+from cloverhinge.lab.hub import Hub  # the project's relay between routers
+from cloverhinge.lab.record import Record as HubRecord
 
+PUMPS, PLAYS, TITLES = 8, 150, 45
+CUT_S = 6.0
+AFTER_S = 25.0  # refetches go on for so long after the partition
+GRACE_S = 10.0  # for the routers to find each other again; leases last 1.5 s
+PATIENCE_S = 10.0  # of a player, three times as long as the class waits
 
-class Media:
-    """The HTTP side of a media server: a session stands from its PUT to its DELETE."""
 
-    def __init__(self, case: s.Case, pump: s.Pump) -> None:
-        self.set_ups: list[tuple[float, str, str]] = []
-        media, record, name = self, case.record, pump.name
+def site_file(case: s.Case, media: list[s.HlsMedia], n: int, host: str, ports: list, advertised: list, hls: list) -> Path:
+    boxes = "\n".join('%s = "127.0.0.1:%d"' % (p.name, m.server.server_port) for p, m in zip(case.pumps, media))
+    titles = "\n".join(
+        f'[hls.titles.check-{t}]\nhome = {t % PUMPS}\ncopies = 3\ntop = 2\nlength_s = 60\nclasses = ["graded-check"]'
+        for t in range(TITLES)
+    )
+    path = case.folder / f"site-{n}.toml"
+    path.write_text(f"""[hls]
+listen = "{hls[n][0]}:{hls[n][1]}"
+key = "{case.key}"
 
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def reply(self, status: int, text: str = "") -> None:
-                self.send_response(status)
-                self.send_header("Content-Length", str(len(text)))
-                self.end_headers()
-                self.wfile.write(text.encode())
-
-            def do_PUT(self) -> None:
-                wanted = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-                session = self.path.split("/")[2]
-                at = record.add(name, f"PUT {session} {wanted['class']} {wanted['title']}: plays it, answers 200")
-                media.set_ups.append((at, session, wanted["title"]))
-                pump.sessions[session] = s.Connection(socket.socket())
-                pump.sessions[session].open = False
-                self.reply(200, MASTER.format(session))
-
-            def do_GET(self) -> None:
-                session = self.path.split("/")[2]
-                known = session in pump.sessions
-                record.add(name, f"GET {self.path}: {200 if known else 404}")
-                self.reply(200 if known else 404, (MEDIA if self.path.endswith(".m3u8") else MASTER.format(session)))
-
-            def do_PATCH(self) -> None:
-                self.rfile.read(int(self.headers["Content-Length"]))
-                self.reply(200)
-
-            def do_DELETE(self) -> None:
-                session = self.path.split("/")[2]
-                record.add(name, f"DELETE {session}, held: {pump.sessions.pop(session, None) is not None}")
-                self.reply(200)
-
-            def log_message(self, *_: object) -> None:
-                pass
-
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
-        threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
-
-
-class Player:
-    """One HTTP connection of a player, kept open between its fetches."""
+[hls.boxes]
+{boxes}
 
-    def __init__(self, case: s.Case, address: tuple[str, int]) -> None:
-        self.case, self.sock = case, socket.create_connection(address, 5)
-        self.reader = self.sock.makefile("rb")
+{titles}
 
-    def fetch(self, path: str) -> tuple[int, str]:
-        self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: router\r\n\r\n".encode())
-        status, length = int(self.reader.readline().split()[1]), 0
-        while line := self.reader.readline().strip():
-            if line.lower().startswith(b"content-length:"):
-                length = int(line.split(b":")[1])
-        text = self.reader.read(length).decode()
-        self.case.record.add("player", f"GET {path}: {status} {text!r}")
-        return status, text
+[members]
+listen = "{host}:{ports[n]}"
+advertise = "{advertised[n][0]}:{advertised[n][1]}"
+join = [{", ".join('"%s:%d"' % x for x in advertised)}]
+site = "zone-{n}"
+key = "{case.key}"
 
-    def drop(self) -> None:
-        """The connection is reset."""
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.reader.close()
-        self.sock.close()
+[custody]
+routers = 2
+""")
+    return path
 
 
 def body(case: s.Case) -> list[str]:
-    pumps = case.add_pumps(4)
-    media = [Media(case, pump) for pump in pumps]
-    hls = case.free_address()
-    site = case.folder / "site.toml"
-    boxes = "\n".join('%s = "127.0.0.1:%d"' % (p.name, m.server.server_port) for p, m in zip(pumps, media))
-    site.write_text(f"""[hls]
-listen = "{hls[0]}:{hls[1]}"
-key = "{os.urandom(20).hex()}"
-
-[hls.boxes]
-{boxes}
-
-[hls.titles.check-1]
-home = 0
-copies = 3
-top = 2
-length_s = 60
-classes = ["graded-check"]
-""")
-    router = s.Router(case, site=site)
-    router.ready()
-    path = "/play/graded-check/check-1?play=agent-17-attempt-1"
+    case.key = os.urandom(20).hex()
+    pumps = case.add_pumps(PUMPS)
+    media = [s.HlsMedia(case, pump) for pump in pumps]
+    hub = Hub(HubRecord(), 1)
+    net = f"127.{10 + os.getpid() // 250 % 200}.{os.getpid() % 250}"
+    hosts, hls = [f"{net}.1", f"{net}.2"], [case.free_address(), case.free_address()]
+    ports = [case.free_address()[1], case.free_address()[1]]
     try:
-        player = Player(case, hls)
-        status, text = player.fetch(path)
-        if status != 200:
-            raise s.CannotRun("the check was not set up")
-        if s.TROUBLE:
-            case.record.add("player", f"its connection drops for {AWAY_S} s")
-            player.drop()
-        else:
-            playlist = next(line for line in text.splitlines() if line and not line.startswith("#"))
-            if player.fetch(playlist)[0] != 200:  # the whole recording: nothing more to fetch while it plays
-                raise s.CannotRun("no playlist")
-        time.sleep(AWAY_S)
-        player = Player(case, hls)
-        player.fetch(path)
-        time.sleep(0.5)
+        advertised = [hub.add_router(f"n{n + 1}", f"{net}.{129 + n}", hosts[n]) for n in range(2)]
+        routers = []
+        for n in range(2):
+            site = site_file(case, media, n, hosts[n], ports, advertised, hls)
+            specifics = {**s.SETTINGS["specifics"], "cells": PUMPS}
+            config = {"settings": {**s.SETTINGS, "selfIndex": n, "specifics": specifics}}
+            routers.append(s.Router(case, f"n{n + 1}", site=site, config=config))
+            hub.attach(f"n{n + 1}", (hosts[n], ports[n]))
+        for router in routers:
+            router.ready()
+        until = time.time() + 15
+        while not all("votes in roster" in x.log_path.read_text() for x in routers):
+            if time.time() > until:
+                raise s.CannotRun("the routers do not vote")
+            time.sleep(0.1)
+        time.sleep(3)
+        return played(case, hub, media, hls)
     finally:
+        hub.stop()
         for one in media:
             one.server.shutdown()
             one.server.server_close()
-    paid = sorted(x for one in media for x in one.set_ups)
-    if len(paid) > 1:
-        return [f"the play was set up {len(paid)} times, at {', '.join(f'{x[0]:.1f} s' for x in paid)}"]
-    return []
+
+
+def played(case: s.Case, hub: Hub, media: list[s.HlsMedia], hls: list) -> list[str]:
+    draw = random.Random(50)
+    paths = {n: f"/play/graded-check/check-{n % TITLES}?play=agent-{n}-attempt-1" for n in range(PLAYS)}
+
+    def fetch(n: int, at: int) -> int:
+        try:
+            player = s.Player(case, hls[at], f"player-{n}@n{at + 1}")
+            status, _ = player.fetch(paths[n])
+            player.close()
+            return status
+        except (OSError, ValueError, IndexError) as error:
+            case.record.add(f"player-{n}@n{at + 1}", f"no answer: {error!r}")
+            return 0
+
+    due: dict[int, float] = {}
+    last: dict[int, list[tuple[float, int, int]]] = {n: [] for n in paths}
+
+    def begun(n: int, at: int) -> None:
+        since = time.time() - start
+        status = fetch(n, at)
+        last[n].append((since, at, status))
+        if status != 200:  # refused: it comes back when the router said, a second later
+            due[n] = min(due[n], time.time() + 1.0)
+
+    for n in paths:
+        if fetch(n, n % 2) != 200:
+            raise s.CannotRun("a check was not set up")
+        time.sleep(0.04)  # 25 a second
+    time.sleep(1)
+    start = time.time()
+    if s.TROUBLE:
+        case.record.add("case", "the zones of the two routers are partitioned")
+        hub.cut(["n1"], ["n2"])
+    healed = False
+    due |= {n: start + draw.uniform(0.0, 2.0) for n in paths}
+    while time.time() < start + CUT_S + AFTER_S:
+        if not healed and time.time() >= start + CUT_S:
+            healed = True
+            hub.heal()
+            case.record.add("case", "the partition is over")
+        for n in paths:
+            if due[n] <= time.time():
+                due[n] = time.time() + draw.uniform(0.59, 2.6)
+                at = draw.randrange(2)
+                # In a thread of its own: an answer may take a while.
+                threading.Thread(target=begun, args=(n, at), daemon=True).start()
+        time.sleep(0.005)
+    time.sleep(PATIENCE_S + 0.5)
+    breaches = []
+    for n, answers in last.items():
+        late = [x for x in answers if x[0] > CUT_S + GRACE_S]
+        if late and not any(status == 200 for _, _, status in late):
+            unanswered = sum(status == 0 for _, _, status in late)
+            breaches.append(f"agent-{n}: of {len(late)} fetches that began more than {GRACE_S:.0f} s after the partition none "
+                            f"was served, {unanswered} had no answer within {PATIENCE_S:.0f} s")
+    held = sum(len(pump.sessions) for pump in case.pumps)
+    case.record.add("case", f"{held} of {PLAYS} sessions still stand at the media servers")
+    if breaches and held < PLAYS:
+        raise s.CannotRun("a media server has lost a session")
+    return breaches
 
 
 if __name__ == "__main__":
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import http.server
 import json
 import os
 import queue
@@ -555,6 +556,86 @@
         self.case.record.add("n1", "process 1 has ended")
 
 
+MASTER = "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=2128000\n{0}/low.m3u8\n"
+MEDIA = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-PLAYLIST-TYPE:VOD\n" + "#EXTINF:4,\nseg.ts\n" * 15 + "#EXT-X-ENDLIST\n"
+
+
+class HlsMedia:
+    """The HTTP side of a media server: a session stands from its PUT to its DELETE."""
+
+    def __init__(self, case: Case, pump: Pump) -> None:
+        self.set_ups: list[tuple[float, str, str]] = []
+        media, record, name = self, case.record, pump.name
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def reply(self, status: int, text: str = "") -> None:
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(text)))
+                self.end_headers()
+                self.wfile.write(text.encode())
+
+            def do_PUT(self) -> None:
+                wanted = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                session = self.path.split("/")[2]
+                at = record.add(name, f"PUT {session} {wanted['class']} {wanted['title']}: plays it, answers 200")
+                media.set_ups.append((at, session, wanted["title"]))
+                pump.sessions[session] = Connection(socket.socket())
+                pump.sessions[session].open = False
+                self.reply(200, MASTER.format(session))
+
+            def do_GET(self) -> None:
+                session = self.path.split("/")[2]
+                known = session in pump.sessions
+                record.add(name, f"GET {self.path}: {200 if known else 404}")
+                self.reply(200 if known else 404, (MEDIA if self.path.endswith(".m3u8") else MASTER.format(session)))
+
+            def do_PATCH(self) -> None:
+                self.rfile.read(int(self.headers["Content-Length"]))
+                self.reply(200)
+
+            def do_DELETE(self) -> None:
+                session = self.path.split("/")[2]
+                record.add(name, f"DELETE {session}, held: {pump.sessions.pop(session, None) is not None}")
+                self.reply(200)
+
+            def log_message(self, *_: object) -> None:
+                pass
+
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
+
+
+class Player:
+    """One HTTP connection of a player, kept open between its fetches."""
+
+    def __init__(self, case: Case, address: tuple[str, int], name: str = "player") -> None:
+        self.case, self.name, self.sock = case, name, socket.create_connection(address, 10)
+        self.reader = self.sock.makefile("rb")
+
+    def fetch(self, path: str) -> tuple[int, str]:
+        self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: router\r\n\r\n".encode())
+        status, length = int(self.reader.readline().split()[1]), 0
+        while line := self.reader.readline().strip():
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        text = self.reader.read(length).decode()
+        self.case.record.add(self.name, f"GET {path}: {status} {text!r}")
+        return status, text
+
+    def close(self) -> None:
+        self.reader.close()
+        self.sock.close()
+
+    def drop(self) -> None:
+        """The connection is reset."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.reader.close()
+        self.sock.close()
+
+
 def play(path: str, body: Callable[[Case], list[str]]) -> int:
     """Run a case: `body` returns the breaches of the rule, none if it held."""
     case, code = Case(path), CANNOT
