--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,45 +1,56 @@
-"""Discovery serves each new connection 1.5 s late: does the router ever learn that a pump drains?"""
+"""A bad client uses the id of an open paid request at another router: what is it told, and the viewer?"""
 
 import sys
+import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins2 as s
 
-TITLE = "7f3a9c21e0b4d655"
-SLOW_S = 1.5
-BOUND_S = 4.0 + 0.25 + 0.05  # counts as told at the latest, the grace of a drain, and the 50 ms of every time limit
+TITLE, OTHER = "7f3a9c21e0b4d655", "11aa9c21e0b4d655"
+LIMIT_S = 1.05
 
 
 def body(case: s.Case) -> list[str]:
-    if s.TROUBLE:
-        case.changelog.delay_s = SLOW_S  # only the first line of a connection is late, all later ones are not
     case.add_pumps(4)
-    router = s.Router(case)
-    router.ready()
-    time.sleep(8)
-    viewer = s.Viewer(case.record, router.address)
-    first = "%016x" % 0xA0
-    viewer.set_up(first, "practice-call", TITLE, 4000)
-    if (answer := viewer.answer(first)) is None or answer.status != 200:
-        raise s.CannotRun("the set-up was not served")
-    pump = case.pump_of(first)
-    case.changelog.event([pump.row("leaving")])
-    told = case.record.now()
-    classes: dict[str, str] = {}
-    while case.record.now() < told + 20:
-        n = len(classes)
-        session = "%016x" % (0xB00 + n)
-        classes[session] = "graded-check" if n % 8 == 0 else "practice-call"
-        viewer.set_up(session, classes[session], TITLE, 3000)
-        time.sleep(0.7)
-    late = [(at, x) for at, x in pump.set_ups if at > told + BOUND_S]
-    if late:
-        paid = sum(classes[x] == "graded-check" for _, x in late)
-        return [f"{len(late)} new set-ups, {paid} of them paid, were sent to {pump.name} {late[0][0] - told:.1f} to "
-                f"{late[-1][0] - told:.1f} s after the router was told that it drains"]
-    return []
+    fleet = s.Fleet(case, 3)
+    try:
+        return played(case, fleet)
+    finally:
+        fleet.stop()
+
+
+def played(case: s.Case, fleet: s.Fleet) -> list[str]:
+    def later(pump: s.Pump, connection: s.Connection, message: s.Message) -> None:
+        threading.Timer(0.8, lambda: pump.accept(connection, message)).start()
+
+    for pump in case.pumps:
+        pump.on_set_up = lambda connection, message, pump=pump: later(pump, connection, message)
+    viewer = s.Viewer(case.record, fleet.routers[0].address, "viewer")
+    bad = s.Viewer(case.record, fleet.routers[1].address, "bad-client")
+    session = "%016x" % 0x51A1
+    viewer.set_up(session, "graded-check", TITLE, 3000)
+    time.sleep(0.3)
+    if s.TROUBLE:
+        bad.set_up(session, "graded-check", OTHER, 3000)
+    answer = viewer.answer(session)
+    if answer is None or answer.status != 200:
+        raise s.CannotRun("the viewer's check was not set up")
+    breaches = []
+    if s.TROUBLE:
+        told = bad.answer(session, 5)
+        if told is not None and told.status == 200:
+            breaches.append(f"the bad client was told 'served' for {OTHER}, with {told.body.decode()!r}, the description of "
+                            f"the viewer's session of {TITLE}")
+    time.sleep(1.5)
+    pump = case.pump_of(session)
+    ended = pump.end(session)
+    heard = viewer.end_of(session, 8)
+    if heard is None or heard - ended > LIMIT_S:
+        breaches.append("the viewer was not told the end of its session within "
+                        + ("8 s" if heard is None else f"{heard - ended:.1f} s"))
+    return breaches
 
 
 if __name__ == "__main__":
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -565,6 +565,7 @@
 
     def __init__(self, case: Case, pump: Pump) -> None:
         self.set_ups: list[tuple[float, str, str]] = []
+        self.name = pump.name
         media, record, name = self, case.record, pump.name
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -636,6 +637,54 @@
         self.sock.close()
 
 
+class Fleet:
+    """Routers with custody behind the project's own relay; each has a change log of its own."""
+
+    def __init__(self, case: Case, count: int, media: list[HlsMedia] | None = None, titles: str = "",
+                 settings: dict[str, Any] | None = None) -> None:
+        sys.path.insert(0, str(ROOT))
+        from cloverhinge.lab.hub import Hub
+        from cloverhinge.lab.record import Record as HubRecord
+
+        self.case, self.count, self.hub = case, count, Hub(HubRecord(), 1)
+        net, key = f"127.{10 + os.getpid() // 250 % 200}.{os.getpid() % 250}", os.urandom(20).hex()
+        self.hosts = [f"{net}.{n + 1}" for n in range(count)]
+        self.hls = [case.free_address() for _ in range(count)]
+        ports = [case.free_address()[1] for _ in range(count)]
+        advertised = [self.hub.add_router(f"n{n + 1}", f"{net}.{129 + n}", self.hosts[n]) for n in range(count)]
+        self.changelogs = [ChangeLog(case.record) for _ in range(count)]
+        self.routers: list[Router] = []
+        for n in range(count):
+            first = self.changelogs[n].event([pump.row() for pump in case.pumps], reset=True)
+            tables = ""
+            if media is not None:
+                boxes = "\n".join(f'{m.name} = "127.0.0.1:{m.server.server_port}"' for m in media)
+                tables = f'[hls]\nlisten = "{self.hls[n][0]}:{self.hls[n][1]}"\nkey = "{key}"\n\n[hls.boxes]\n{boxes}\n\n'
+                tables += titles + "\n"
+            join = ", ".join('"%s:%d"' % x for x in advertised)
+            tables += (f'[members]\nlisten = "{self.hosts[n]}:{ports[n]}"\nadvertise = "{advertised[n][0]}:{advertised[n][1]}"\n'
+                       f'join = [{join}]\nkey = "{key}"\n\n[custody]\nrouters = {count}\n')
+            site = case.folder / f"site-{n}.toml"
+            site.write_text(tables)
+            config = {"settings": {**(settings or SETTINGS), "fleetSize": count, "selfIndex": n},
+                      "changelog": "%s:%d" % self.changelogs[n].address, "known": {"seq": 1, "results": [first]}}
+            self.routers.append(Router(case, f"n{n + 1}", site=site, config=config))
+            self.hub.attach(f"n{n + 1}", (self.hosts[n], ports[n]))
+        for router in self.routers:
+            router.ready()
+        until = time.time() + 15
+        while not all("votes in roster" in x.log_path.read_text() for x in self.routers):
+            if time.time() > until:
+                raise CannotRun("the routers do not vote")
+            time.sleep(0.1)
+        time.sleep(3)
+
+    def stop(self) -> None:
+        self.hub.stop()
+        for log in self.changelogs:
+            log.stop()
+
+
 def play(path: str, body: Callable[[Case], list[str]]) -> int:
     """Run a case: `body` returns the breaches of the rule, none if it held."""
     case, code = Case(path), CANNOT
