--- a/review/standins2.py
+++ b/review/standins2.py
@@ -654,6 +654,7 @@
         advertised = [self.hub.add_router(f"n{n + 1}", f"{net}.{129 + n}", self.hosts[n]) for n in range(count)]
         self.changelogs = [ChangeLog(case.record) for _ in range(count)]
         self.routers: list[Router] = []
+        self.sites: list[tuple[Path, dict[str, Any], tuple[str, int]]] = []
         for n in range(count):
             first = self.changelogs[n].event([pump.row() for pump in case.pumps], reset=True)
             tables = ""
@@ -668,16 +669,37 @@
             site.write_text(tables)
             config = {"settings": {**(settings or SETTINGS), "fleetSize": count, "selfIndex": n},
                       "changelog": "%s:%d" % self.changelogs[n].address, "known": {"seq": 1, "results": [first]}}
+            self.sites.append((site, config, (self.hosts[n], ports[n])))
             self.routers.append(Router(case, f"n{n + 1}", site=site, config=config))
-            self.hub.attach(f"n{n + 1}", (self.hosts[n], ports[n]))
+            self.hub.attach(f"n{n + 1}", self.sites[n][2])
         for router in self.routers:
-            router.ready()
+            self.wait_votes(router)
+        time.sleep(3)
+
+    def wait_votes(self, router: Router) -> None:
+        """Wait until a router is ready and takes part in custody, as its log says."""
+        router.ready()
         until = time.time() + 15
-        while not all("votes in roster" in x.log_path.read_text() for x in self.routers):
+        while "votes in roster" not in router.log_path.read_text():
             if time.time() > until:
-                raise CannotRun("the routers do not vote")
+                raise CannotRun(f"{router.name} does not vote")
             time.sleep(0.1)
-        time.sleep(3)
+
+    def restart(self, n: int) -> None:
+        """A planned restart: SIGTERM, and `run` again under the same name and at the same addresses."""
+        old = self.routers[n]
+        old.signal(signal.SIGTERM)
+        try:
+            old.process.wait(10)
+        except subprocess.TimeoutExpired:
+            raise CannotRun(f"{old.name} does not end") from None
+        self.case.record.add(old.name, "has ended")
+        self.hub.detach(old.name)
+        site, config, address = self.sites[n]
+        self.routers[n] = Router(self.case, old.name, listen=old.address, site=site, config=config)
+        self.hub.attach(old.name, address)
+        self.wait_votes(self.routers[n])
+        self.case.record.add(old.name, "votes again")
 
     def stop(self) -> None:
         self.hub.stop()
