Releases and TEARDOWNs at the other process of an upgrade reach the process that holds

Cause: a session that this process does not hold was taken for one that nobody holds, and the acknowledgement was given before its effect was safe. The same held for a viewer's TEARDOWN at the new process, for releases at an ending process whose viewers' connections were closed, and for a release before the session's hand-over.

Change: the processes record what they hold, and what they hear of each other's sessions, in an append-only log in TMPDIR before they acknowledge it; the file's order decides. The holder acts on it at its next poll (0.1 s). A release of a session that is held nowhere is remembered for 30 s and answers a later hand-over from the same media server.

--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -258,6 +258,25 @@
         """Tell its media server, once it is certain that no other router owns the session by now."""
 
 
+class SharingPort(Protocol):
+    """Optional: other processes under this router's name, to which clients and media servers talk as well."""
+
+    def take(self, set_up: SetUpRequest) -> None:
+        """This process has taken a request."""
+
+    def take_over(self, set_up: SetUpRequest, server: int) -> bool:
+        """Its viewer hands a session over to this process; False if another session has its id."""
+
+    def established(self, request: Request, server: int) -> None:
+        """The session of a request is established at this media server."""
+
+    def over(self, request: Request) -> None:
+        """A request was concluded without a session, or its session has ended."""
+
+    def released(self, session_id: str, server: int, outcome: Outcome) -> None:
+        """A media server has released a session, which another process may hold."""
+
+
 class Prober(Protocol):
     """Sends probes to media servers."""
 
--- /dev/null
+++ b/cloverhinge/core/recent_ids.py
@@ -0,0 +1,40 @@
+"""Ids that are remembered for a fixed time, in a table of fixed size."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class RecentIds(Generic[T]):
+    """Maps ids to values for `ttl_ms` after they were added; beyond `capacity` the oldest one leaves."""
+
+    def __init__(self, ttl_ms: float, capacity: int) -> None:
+        self.ttl_ms, self.capacity = ttl_ms, capacity
+        self._entries: OrderedDict[str, tuple[float, T]] = OrderedDict()  # oldest first
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def add(self, now: float, id: str, value: T) -> None:
+        """Remember an id from now on; an earlier value of it is replaced."""
+        self._expire(now)
+        self._entries.pop(id, None)
+        self._entries[id] = now + self.ttl_ms, value
+        if len(self._entries) > self.capacity:
+            self._entries.popitem(last=False)
+
+    def get(self, now: float, id: str) -> T | None:
+        """The value of an id, None if it is not remembered."""
+        entry = self._entries.get(id)
+        return None if entry is None or entry[0] <= now else entry[1]
+
+    def discard(self, id: str) -> None:
+        """Forget an id, if it is remembered."""
+        self._entries.pop(id, None)
+
+    def _expire(self, now: float) -> None:
+        while self._entries and next(iter(self._entries.values()))[0] <= now:
+            self._entries.popitem(last=False)
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -9,6 +9,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from twisted.logger import Logger
 
@@ -28,9 +29,11 @@
     Request,
     ServerPort,
     SetUpRequest,
+    SharingPort,
     State,
     Tally,
 )
+from cloverhinge.core.recent_ids import RecentIds
 from cloverhinge.core.request_log import RequestLog
 from cloverhinge.core.request_table import RequestTable
 from cloverhinge.core.server_listings import ServerListings
@@ -56,9 +59,20 @@
 SHUTDOWN_RETRY_MS = 1000.0  # retry-after of a request that a shutdown ends: a restart takes about as long
 # A give-up reaches the media server within this time; only then may the next attempt be sent.
 GIVE_UP_DELAY_MS = 8.0
+# After its release by the media server, a session may still be handed over, or taken over, within this time.
+UNHELD_RELEASE_TTL_MS = 30_000.0
+MAX_UNHELD_RELEASES = 4096
 CAUSES = {Outcome.SERVED: Cause.ENDED, Outcome.RESET: Cause.CUT, Outcome.CANCELLED: Cause.CANCELLED}
 
 
+@dataclass(frozen=True, slots=True)
+class UnheldRelease:
+    """A media server's release of a session that this process does not hold."""
+
+    server: int
+    outcome: Outcome
+
+
 class Router:
     """Holds all requests and sessions of this process and connects the decision module with the ports.
 
@@ -88,6 +102,8 @@
         self.prober: Prober | None = None
         self.admission: AdmissionPort | None = None
         self.ownership: OwnershipPort | None = None
+        self.sharing: SharingPort | None = None
+        self.unheld_releases: RecentIds[UnheldRelease] = RecentIds(UNHELD_RELEASE_TTL_MS, MAX_UNHELD_RELEASES)
         self.on_concluded: Callable[[], None] = lambda: None  # called whenever an open request is concluded
         self.open_requests = 0
         # During a shutdown: Unix time by which every open request has its answer.
@@ -179,6 +195,8 @@
             self.counters.tallies[set_up.class_name].shed += set_up.session_id not in self.by_session_id
             self.request_log.request(set_up.session_id, "not taken", open=self.open_requests)
             return None
+        if self.sharing is not None:
+            self.sharing.take(set_up)
         request = self._register(set_up, client, servers, now)
         request.deadline = self.deadlines.schedule(
             now + max(0.0, set_up.wait_ms - OVERDUE_MARGIN_MS), lambda: self._overdue(request)
@@ -214,15 +232,22 @@
     ) -> Request | None:
         """Take over a session that plays already.  One that this router has already stays as it is.
 
-        Returns None if the session is not taken over.  Its client is notified that it is cut where its media
-        server is not listed, as nothing would ever end such a session, or where half of the slots are taken,
-        so that sessions handed over leave room for new requests.
+        Returns None if the session is not taken over.  Its client is notified that it has ended where its
+        media server has released it before, or is not listed, as nothing would ever end such a session; also
+        where half of the slots are taken, so that sessions handed over leave room for new requests.
         """
         if set_up.session_id in self.by_session_id:
             return None
+        release = self.unheld_releases.get(self.clock.now(), set_up.session_id)
+        if release is not None and release.server == server:
+            if release.outcome is not Outcome.CANCELLED:
+                client.released(CAUSES.get(release.outcome, Cause.CUT))
+            return None
         if server not in self.listings or 2 * len(self.requests) >= self.requests.capacity:
             client.released(Cause.CUT)
             return None
+        if self.sharing is not None and not self.sharing.take_over(set_up, server):
+            return None
         request = self._register(set_up, client, servers, self.clock.now())
         request.attempts = 1
         self._establish(request, server)
@@ -514,6 +539,8 @@
         request.attempt, request.may_have_run = None, True
         self._conclude(request, keep=True)
         self._establish(request, attempt.server)
+        if self.sharing is not None:
+            self.sharing.established(request, attempt.server)
         request.tally.ok += 1
         self._log(request, "served", server=attempt.server)
         with contained("a client is told of its session"):
@@ -542,6 +569,8 @@
 
     def _drop(self, request: Request) -> None:
         self._table.remove(request)
+        if self.sharing is not None:
+            self.sharing.over(request)
         if self.admission is not None:
             with contained("admission is told of a request's end"):
                 self.admission.ended(request)
@@ -606,6 +635,25 @@
             with contained("admission is told of a session"):
                 self.admission.established(request)
 
+    def session_released(
+        self, session_id: str, server: int, outcome: Outcome, report: api.LoadReport | None = None
+    ) -> None:
+        """A media server has released a session, which another process of this router may hold."""
+        if self.sharing is not None:
+            self.sharing.released(session_id, server, outcome)
+        self.end_released(session_id, server, outcome, report)
+
+    def end_released(
+        self, session_id: str, server: int, outcome: Outcome, report: api.LoadReport | None = None
+    ) -> None:
+        """End a session that its media server has released; one that is not held here is remembered, as it
+        may be handed over later."""
+        request = self.by_session_id.get(session_id)
+        if request is None:
+            self.unheld_releases.add(self.clock.now(), session_id, UnheldRelease(server, outcome))
+        elif request.server == server:
+            self.session_ended(request, outcome, report)
+
     def session_ended(self, request: Request, outcome: Outcome, report: api.LoadReport | None = None) -> None:
         """The media server has released the session.  Repeated releases have no effect."""
         if request.state is State.ESTABLISHED:
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -147,6 +147,8 @@
                 self.deadlines,
             )
             self.operations.on_sharing_changed = self.media_servers.set_process_count
+            if config.listener_fd is not None:
+                self.operations.share_sessions(self.front, self.media_servers)
         if site.members is not None:
             # Loaded only if there are other routers.
             from cloverhinge.members.transport import MembershipTransport
--- a/cloverhinge/operations/component.py
+++ b/cloverhinge/operations/component.py
@@ -21,6 +21,10 @@
 from cloverhinge.operations.maintenance_file import MaintenanceFile
 from cloverhinge.operations.metrics import MetricsSnapshot
 from cloverhinge.operations.overlap import Phase, count_sharing_processes, encode
+from cloverhinge.operations.session_log import SessionLog
+from cloverhinge.operations.shared_sessions import SharedSessions
+from cloverhinge.rtsp.front import RtspFrontend
+from cloverhinge.rtsp.media_servers import MediaServers
 
 # Bounds how late a maintenance command given to the other process takes effect in this one; must be less than
 # half of the shortest grace period.
@@ -61,6 +65,7 @@
         self.on_sharing_changed: Callable[[int], None] = lambda processes: None
         self.maintenance_file: MaintenanceFile | None = None
         self.instance_files: InstanceFiles | None = None
+        self.shared_sessions: SharedSessions | None = None
         if folder is not None:
             file_prefix = f"cloverhinge-{re.sub(r'[^A-Za-z0-9_-]', '_', name)}"
             self.maintenance_file, self.instance_files = (
@@ -75,6 +80,13 @@
             max(1, min(MAX_PENDING_CONNECTIONS, int(sockets * MAX_DESCRIPTOR_SHARE))),
         )
 
+    def share_sessions(self, front: RtspFrontend, servers: MediaServers) -> None:
+        """Exchange events of sessions with processes that share the listener; needs a folder."""
+        if self.instance_files is not None:
+            files = self.instance_files
+            log = SessionLog(files.folder / f"{files.file_prefix}-sessions.log")
+            self.shared_sessions = SharedSessions(log, self.router, front, servers, self.router.clock)
+
     def start(self) -> None:
         """Open the command listener and begin to poll the files."""
         if self.command_address is not None:
@@ -89,6 +101,8 @@
             )
         if self.instance_files is not None:
             self.instance_files.start()
+            if self.shared_sessions is not None:
+                self.shared_sessions.start()
             self.deadlines.repeat(POLL_INTERVAL_MS, self._poll_files)
 
     def begin_serving(self) -> None:
@@ -98,9 +112,13 @@
     def begin_shutdown(self) -> None:
         """SIGTERM has been received: `status` answers NAK, and the other process takes over new sessions."""
         self._set_phase(Phase.ENDING)
+        if self.shared_sessions is not None:
+            self.shared_sessions.begin_shutdown()
 
     def stop(self) -> None:
         """Remove this process's files; nothing is published afterwards."""
+        if self.shared_sessions is not None:
+            self.shared_sessions.stop()
         instance_files, self.instance_files = self.instance_files, None
         if instance_files is not None:
             instance_files.remove_own()
@@ -217,3 +235,5 @@
         self._merge_file()
         if self.instance_files is not None:
             self._exchange_state(self.instance_files)
+            if self.shared_sessions is not None:
+                self.shared_sessions.poll(self.instance_files.running_pids)
--- a/cloverhinge/operations/instance_files.py
+++ b/cloverhinge/operations/instance_files.py
@@ -26,6 +26,7 @@
         self.folder, self.file_prefix = folder, file_prefix
         self.own_lock_path = folder / f"{file_prefix}-{os.getpid()}.lock"
         self.lock_fd: int | None = None
+        self.running_pids: list[int] = []  # of the other processes, as last read
         self.logged_errors: set[str] = set()
 
     def start(self) -> None:
@@ -57,6 +58,7 @@
         Files that ended processes have left behind are removed.
         """
         states: list[InstanceState | None] = []
+        self.running_pids = []
         for path in sorted(self.folder.glob(f"{self.file_prefix}-*.lock"))[:MAX_OTHER_INSTANCES]:
             if path == self.own_lock_path:
                 continue
@@ -64,6 +66,7 @@
                 for suffix in (".lock", ".told", ".new"):
                     path.with_suffix(suffix).unlink(missing_ok=True)
                 continue
+            self.running_pids.append(int(path.stem.rpartition("-")[2]))
             try:
                 with open(path.with_suffix(".told"), "rb") as file:
                     states.append(decode(file.read(MAX_STATE_BYTES + 1)))
--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -197,12 +197,8 @@
         elif message.method == "TEARDOWN":
             self.queue.cancel(name)
             self.front.scheduler.cancel(name)
+            self.front.viewer_left(name)
             self.send(messages.encode_response(200, cseq, name))
-            request = self.front.router.by_session_id.get(name)
-            if request is not None and isinstance(request.client, RtspClient):
-                request.client.settle_set_up()
-                request.client.set_established(False)
-                self.front.router.viewer_left(request)
         elif message.method == "OPTIONS":
             self.send(messages.encode_response(200 if self.front.ready else 503, cseq, name))
         else:
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -70,6 +70,10 @@
         self.identify: Callable[[str, str, str, str], int] | None = None
         # Set by ownership: the media server's answer to the set-up of a session.
         self.replicated_answer: Callable[[str], bytes] | None = None
+        # Set where other processes share the listener: passes on that a viewer has left a session that is not
+        # held here, and a message for which there is no connection (False if it has to wait here).
+        self.viewer_left_elsewhere: Callable[[str], None] | None = None
+        self.share_undelivered: Callable[[RtspClient, bytes], bool] | None = None
 
     def start(self) -> None:
         """Start the periodic sweep."""
@@ -194,6 +198,21 @@
         elif request.state is State.OPEN:
             connection.unanswered[set_up.session_id] = request
 
+    def viewer_left(self, session_id: str) -> None:
+        """A viewer ends a session or gives a set-up up; the session may be held by another process."""
+        if session_id in self.router.by_session_id:
+            self.end_session(session_id)
+        elif self.viewer_left_elsewhere is not None:
+            self.viewer_left_elsewhere(session_id)
+
+    def end_session(self, session_id: str) -> None:
+        """End a session of this front, or an open set-up, that its viewer has left."""
+        request = self.router.by_session_id.get(session_id)
+        if request is not None and isinstance(request.client, RtspClient):
+            request.client.settle_set_up()
+            request.client.set_established(False)
+            self.router.viewer_left(request)
+
     def fail_unregistered(self, connection: ClientConnection, received: ReceivedSetUp) -> None:
         """Answer a set-up that has failed before the core had it; the core answers all others."""
         session_id = received.message.session_id
@@ -278,11 +297,25 @@
     def deliver(self, client: RtspClient, data: bytes) -> None:
         """Send a message to the client of a session.
 
+        Without any connection the message is left to another process that shares the listener, or stored for
+        a later connection.
+        """
+        if self.deliver_on_open_connection(client, data):
+            return
+        if self.share_undelivered is None or not self.share_undelivered(client, data):
+            self.store_undelivered(data)
+
+    def store_undelivered(self, data: bytes) -> None:
+        """Keep a message for the next connection on which a client sends something."""
+        self.undelivered.append((self.clock.now(), data))
+
+    def deliver_on_open_connection(self, client: RtspClient, data: bytes) -> bool:
+        """Send a message to the client of a session; False if there is no connection for it.
+
         It goes to the session's connection, else to the connection of the client's host that sent a message
         last, else to any connection that sent one last; those that take data go first.  Connections without a
         complete message are excluded, as they may not be a client's, and so are those that either side has
-        closed, though the client's close may not have been read yet.  Without any connection the message is
-        stored for a later one.
+        closed, though the client's close may not have been read yet.
         """
         connection = self.connections.get(client.connection_handle)
         if connection is None or not connection.is_writable:
@@ -293,11 +326,11 @@
             connection = next((x for x in candidates if x.is_writable), None)
         target = "none" if connection is None else f"{connection.handle:x}"
         self.router.request_log.request(client.session_id, "end told", connection=target)
-        if connection is not None:
-            connection.send(data)
-            connection.deliveries.append(Delivery(self.clock.now(), client, data))
-        else:
-            self.undelivered.append((self.clock.now(), data))
+        if connection is None:
+            return False
+        connection.send(data)
+        connection.deliveries.append(Delivery(self.clock.now(), client, data))
+        return True
 
     def first_message_received(self, connection: ClientConnection) -> None:
         """Send the stored messages: the connection's first complete message shows that it is a client's."""
--- a/cloverhinge/rtsp/server_inbound.py
+++ b/cloverhinge/rtsp/server_inbound.py
@@ -85,19 +85,18 @@
 
 
 def _handle_release(connection: ServerConnection, message: messages.Message) -> None:
+    """Process a release; it is acknowledged last, as the server does not repeat it on this connection."""
     pool = connection.pool
     router = pool.servers.router
     session_id = message.session_id
-    connection.send(messages.encode_response(200, message.headers.get("cseq", "2"), session_id))
     attempt = connection.attempts.pop(session_id, None)
     if attempt is not None:
         router.attempt_ended(attempt, Outcome.RESET, parse_load_report(message))
-        return
-    request = router.by_session_id.get(session_id)
-    if request is not None and request.server == pool.address.number:
+    else:
         cause = message.headers.get("reason", "").partition("cause=")[2].strip()
         outcome = OUTCOME_BY_CAUSE.get(cause, Outcome.RESET)
-        router.session_ended(request, outcome, parse_load_report(message))
+        router.session_released(session_id, pool.address.number, outcome, parse_load_report(message))
+    connection.send(messages.encode_response(200, message.headers.get("cseq", "2"), session_id))
 
 
 def _handle_note(connection: ServerConnection, message: messages.Message) -> None:
