A claim is compared with the record before the record moves: class, title, viewer

Cause: records were asked for, handed over and continued by their id alone.

Change: records carry a digest of the description; claims are compared at the router itself, at the owner that is asked to hand over, and after a prepare round. A conflict is answered 455 or 409 and changes nothing else. Two messages have an optional field at their end, which earlier versions ignore.

--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -130,6 +130,9 @@
         elif self.world.random.random() < self.crowd.return_share:
             self.world.deadlines.after(delay_ms, self.request_set_up)
 
+    def conflict(self) -> None:
+        """Never called: each request has an id of its own."""
+
     def failed(self, outcome: Outcome | None) -> None:
         """Gives up."""
         self.crowd.tally.gave_up += 1
--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -31,6 +31,15 @@
     retry_after_step_ms: float = 1.0  # granularity of retry-after times on the wire
     record_id: str = ""  # key of its ownership record; empty = its session id
 
+    def is_for_session_of(self, other: SetUpRequest) -> bool:
+        """Whether it asks for the session that another set-up with its id has led to."""
+        same_body = not self.body or not other.body or self.body == other.body
+        return same_body and (self.class_name, self.title, self.viewer_id) == (
+            other.class_name,
+            other.title,
+            other.viewer_id,
+        )
+
 
 class State(Enum):
     """State of a request and of the session that results from it."""
@@ -149,7 +158,7 @@
 class ClientPort(Protocol):
     """Towards the client that sent a set-up request.
 
-    Exactly one of `served`, `refused` and `failed` is called, unless the viewer has left.
+    Exactly one of `served`, `refused`, `failed` and `conflict` is called, unless the viewer has left.
     """
 
     def presence(self) -> Presence:
@@ -170,6 +179,10 @@
         """The request failed; `outcome` is that of its last attempt, if there was one."""
         ...
 
+    def conflict(self) -> None:
+        """The request's id is in use for another session, which is not affected."""
+        ...
+
     def released(self, cause: Cause) -> None:
         """The established session has ended."""
         ...
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -345,6 +345,22 @@
             failure = Outcome.ERROR if failed else None
             self._conclude_by_core(request, failure, UNREPLICATED_RETRY_MS, Outcome.MOOT)
 
+    def conclude_conflict(self, request: Request) -> None:
+        """Conclude a request, of which nothing has been sent, whose id is in use for another session."""
+        if request.state is not State.OPEN:
+            return
+        attempt = request.attempt
+        if attempt is not None and not attempt.ended_by_sender:
+            self._give_up(attempt)
+        self._log(request, "refused, its id is in use for another session")
+        request.tally.errors += 1
+        self._conclude(request)
+        with contained("a client is told of a conflict"):
+            request.client.conflict()
+        self.dispatch(api.ViewerLeft(request.handle))
+        if attempt is not None:
+            self._report_ended(attempt, Outcome.MOOT, concluded=True)
+
     def answer_open_requests(self) -> None:
         """Give every open request its final answer, as the process is about to end.
 
--- a/cloverhinge/hls/plays.py
+++ b/cloverhinge/hls/plays.py
@@ -131,6 +131,10 @@
             self.play.final_failure = failure  # a failed paid set-up may have run: no fetch starts another
         self._fail(failure)
 
+    def conflict(self) -> None:
+        """The play id is in use for another title, at another router."""
+        self._fail(FetchFailed(409, "this play id is in use for another title"))
+
     def _fail(self, failure: FetchFailed) -> None:
         self.failure = failure
         self.play.request = None
--- a/cloverhinge/hls/replicated_plays.py
+++ b/cloverhinge/hls/replicated_plays.py
@@ -84,6 +84,9 @@
                 raise PlayEnded
             play.final_failure = FetchFailed(502, "the set-up failed")
             raise play.final_failure
+        if verdict is Verdict.CONFLICT:
+            self.plays.forget(play)  # else the player whose id it is would be refused here
+            raise FetchFailed(409, "this play id is in use for another title")
         if verdict is Verdict.OWNED_ELSEWHERE:
             raise FetchFailed(503, "another router has this play", BUSY_RETRY_AFTER_MS)
         if verdict is Verdict.UNREPLICATED:
@@ -125,6 +128,7 @@
         title = self.titles.get(session.title)
         if title is None or session.class_name not in self.plays.router.classes:
             return False
+        self._forget_conflicting_play(session)
         try:
             play = self.plays.find_or_add(session.viewer_id, session.class_name, session.title, title)
         except FetchFailed:
@@ -138,6 +142,15 @@
         self.plays.touch(play)
         return play.request is not None
 
+    def _forget_conflicting_play(self, session: ReplicatedSession) -> None:
+        """Drop a play that a player has begun here under the id of the record, for another title."""
+        play = self.plays.by_id.get(session.viewer_id)
+        if play is None or (play.class_name, play.title_name) == (session.class_name, session.title):
+            return
+        if play.request is None:
+            self.plays.forget(play)
+            play.wake_waiters(FetchFailed(409, "this play id is in use for another title"))
+
     def ownership_lost(self, id: str) -> None:
         play = self.plays.by_token.get(id[2:])
         if play is not None:
--- a/cloverhinge/ownership/component.py
+++ b/cloverhinge/ownership/component.py
@@ -28,7 +28,7 @@
 from cloverhinge.ownership.model import Verdict
 from cloverhinge.ownership.persistence import Persist
 from cloverhinge.ownership.register import Phase, Work
-from cloverhinge.ownership.replicated_work import ReplicatedSession, decode, encode
+from cloverhinge.ownership.replicated_work import ReplicatedSession, decode, digest_of, encode, is_same_work
 from cloverhinge.ownership.wire import Member, name_of
 from cloverhinge.site.model import OwnershipSettings
 from cloverhinge.store import Mark
@@ -143,7 +143,11 @@
             )
             reactor.addSystemEventTrigger("after", "shutdown", self.replica_store.close)
         self.core = core.OwnershipCore(
-            own, rules, self.seed, None if self.replica_store is None else self.replica_store.persistence
+            own,
+            rules,
+            self.seed,
+            None if self.replica_store is None else self.replica_store.persistence,
+            is_same_work,
         )
         self.router.ownership = self
         self.members.receivers[self.key] = self._receive
@@ -383,6 +387,7 @@
             set_up.length_ms,
             set_up.peer_address,
             answer if len(answer) <= MAX_ANSWER_BYTES and not set_up.record_id else b"",
+            digest_of(set_up.body),
         )
 
     # The core's `OwnershipPort`
@@ -391,7 +396,9 @@
         """Has the attempt sent; a new paid record has to be replicated before, as prepared."""
         request, id = attempt.request, self._record_id(attempt.request)
         session = self._session_of(request, attempt.server)
-        if request.set_up.record_id or id in self.core.owned or attempt.number > 0:
+        if self.core.claim_conflicts(id, encode(session)):
+            self.router.conclude_conflict(request)
+        elif request.set_up.record_id or id in self.core.owned or attempt.number > 0:
             self._update(
                 id, Phase.INTENT, session
             )  # this router owns it: its replicas may get the new server later
@@ -417,6 +424,8 @@
         session = None if work is None else decode(work)
         if verdict is Verdict.NEW:
             self.router.send(attempt)
+        elif verdict is Verdict.CONFLICT:
+            self.router.conclude_conflict(request)
         elif verdict is Verdict.TAKEN_OVER and session is not None:
             self._adopting = True  # the record is continued; only the request that came for it ends
             try:
--- a/cloverhinge/ownership/core.py
+++ b/cloverhinge/ownership/core.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import Counter, OrderedDict, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from itertools import islice
 
 import msgspec
@@ -77,9 +77,18 @@
     """
 
     def __init__(
-        self, own: Member, rules: Rules, seed: int, persistence: ReplicaPersistence | None = None
+        self,
+        own: Member,
+        rules: Rules,
+        seed: int,
+        persistence: ReplicaPersistence | None = None,
+        is_same_work: Callable[[bytes, bytes], bool] = lambda body, other: True,
     ) -> None:
-        """`persistence`: of this router's store, where it has one; `seed`: of all random draws."""
+        """`persistence`: of this router's store, where it has one; `seed`: of all random draws.
+
+        `is_same_work` tells whether two bodies of records describe the same work.
+        """
+        self.is_same_work = is_same_work
         self.own, self.rules, self.persistence = own, rules, persistence
         self.own_id = own.member_id
         self.random = random.Random(seed)
@@ -248,6 +257,12 @@
         """
         record = self.owned.get(id)
         attempt = self.acquisitions.get(id)
+        if record is not None and self._conflicts(record.work, body):
+            self._actions.append(Answer(number, Verdict.CONFLICT, None))
+            return self._take_actions(now)
+        if attempt is not None and attempt.callers and not self.is_same_work(attempt.proposed.body, body):
+            self._actions.append(Answer(number, Verdict.CONFLICT, None))
+            return self._take_actions(now)
         if record is not None and not record.hand_over_to and attempt is None:
             verdict = Verdict.TAKEN_OVER if record.work.phase is Phase.STANDS else Verdict.NEW
             if record.work.phase in (Phase.STANDS, Phase.INTENT):
@@ -279,6 +294,19 @@
             )
         return self._take_actions(now)
 
+    def _conflicts(self, work: Work | None, body: bytes) -> bool:
+        """Whether a claim is for other work than the record that has its id.
+
+        Repeatable work that is over leaves its id free.
+        """
+        if work is None or not (work.paid or register.active_owner(work)):
+            return False
+        return not self.is_same_work(work.body, body)
+
+    def claim_conflicts(self, id: str, body: bytes) -> bool:
+        """Whether a claim would be for other work than the record, as far as this router knows the record."""
+        return self._conflicts(self.known_work(id), body)
+
     def find(
         self, now: float, number: int, id: str, deadline_ms: float, owned_deadline_ms: float
     ) -> list[Action]:
@@ -449,7 +477,7 @@
                 if item.number == self.replica_sets.number:
                     self._unacknowledged_parts.pop((member_id, item.part), None)
             case wire.HandOverRequest():
-                self._on_hand_over_request(now, member_id, item.id)
+                self._on_hand_over_request(now, member_id, item)
             case wire.HandOver():
                 self._on_hand_over(now, member_id, item)
             case wire.HandOverRefused():
@@ -1001,10 +1029,13 @@
         self._remove_owned(id)
         self._actions.append(OwnershipLost(id, to, final))
 
-    def _on_hand_over_request(self, now: float, member_id: str, id: str) -> None:
+    def _on_hand_over_request(self, now: float, member_id: str, request: wire.HandOverRequest) -> None:
+        id = request.id
         record, pending = self.owned.get(id), self._pending_hand_overs.get(id)
         if pending is not None and pending[0] == member_id:
             self._send_item(member_id, pending[1])
+        elif record is not None and request.body and self._conflicts(record.work, request.body):
+            self._send_item(member_id, wire.HandOverRefused(id, False, conflict=True))
         elif record is None or record.hand_over_to:
             # The requester prepares a ballot next: it may complete a hand-over whose write was refused.
             self._send_item(member_id, wire.HandOverRefused(id, False))
@@ -1037,15 +1068,21 @@
         self._under_replicated[hand_over.id] = None
         self._actions.append(Acquired(hand_over.id, hand_over.work, None))
         attempt = self.acquisitions.pop(hand_over.id, None)
-        for number in () if attempt is None else attempt.callers:
-            self._actions.append(Answer(number, Verdict.TAKEN_OVER, hand_over.work))
+        if attempt is not None and self._is_conflict(attempt, hand_over.work):
+            self._answer_conflict(attempt)
+        elif attempt is not None:
+            for number in attempt.callers:
+                self._actions.append(Answer(number, Verdict.TAKEN_OVER, hand_over.work))
         if self.leaving:
             self._hand_over_on_leave(now, hand_over.id)
 
     def _on_hand_over_refused(self, now: float, refused: wire.HandOverRefused) -> None:
         attempt = self.acquisitions.get(refused.id)
         if attempt is not None and attempt.stage is Stage.HAND_OVER:
-            if refused.set_up_pending:
+            if refused.conflict:
+                del self.acquisitions[refused.id]
+                self._answer_conflict(attempt)
+            elif refused.set_up_pending:
                 attempt.next_ms, attempt.sent_ms = now + HAND_OVER_RETRY_MS, now
             else:
                 attempt.stage, attempt.next_ms = Stage.WAIT, now + HAND_OVER_RETRY_MS
@@ -1078,7 +1115,8 @@
             if now >= attempt.next_ms:
                 attempt.next_ms = now + HAND_OVER_RETRY_MS
                 if attempt.owner in self.alive and now - attempt.sent_ms < HAND_OVER_TIMEOUT_MS:
-                    self._send_item(attempt.owner, wire.HandOverRequest(attempt.id))
+                    body = attempt.proposed.body if attempt.reason == "claim" else b""
+                    self._send_item(attempt.owner, wire.HandOverRequest(attempt.id, body))
                 else:
                     attempt.stage = Stage.WAIT
         elif attempt.written and self._wins(now, attempt):
@@ -1184,6 +1222,10 @@
             for number in attempt.callers:
                 self._actions.append(Answer(number, Verdict.FINAL, found))
             return
+        elif self._is_conflict(attempt, found):
+            del self.acquisitions[attempt.id]
+            self._answer_conflict(attempt)
+            return
         elif hole and attempt.proposed.paid and (found is None or found.phase is Phase.INTENT):
             self.counters.unknown += 1  # a later value of the record may have been lost
             work = (
@@ -1213,6 +1255,14 @@
         attempt.refusals = {}
         self._send_round(now, attempt)
 
+    def _is_conflict(self, attempt: Acquisition, found: Work | None) -> bool:
+        """Whether a viewer's claim has met a record of other work."""
+        return attempt.reason == "claim" and self._conflicts(found, attempt.proposed.body)
+
+    def _answer_conflict(self, attempt: Acquisition) -> None:
+        for number in attempt.callers:
+            self._actions.append(Answer(number, Verdict.CONFLICT, None))
+
     def _wins(self, now: float, attempt: Acquisition) -> bool:
         """Whether enough replicas accepted the write, with leases of a majority where it is acted on."""
         count = len(attempt.replicas)
--- a/cloverhinge/ownership/model.py
+++ b/cloverhinge/ownership/model.py
@@ -32,6 +32,7 @@
     TAKEN_OVER = "taken"  # the session is established, and this router's from now on
     FINAL = "final"  # the record has its final answer
     OWNED_ELSEWHERE = "held"  # another router owns it, and did not hand it over in time
+    CONFLICT = "conflict"  # the record is of other work than the claim; it stays as it is
     UNREPLICATED = "unkept"  # its replicas could not be reached in time
 
 
--- a/cloverhinge/ownership/replicated_work.py
+++ b/cloverhinge/ownership/replicated_work.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import hashlib
+
 import msgspec
 
 from cloverhinge.core.model import SetUpRequest
 from cloverhinge.ownership.register import Work
 
+DIGEST_BYTES = 16
+
 
 class ReplicatedSession(msgspec.Struct, array_like=True):
     """The replicated description of a session.  It is encoded by position, so new fields go to the end."""
@@ -23,6 +27,7 @@
     length_ms: float = 0.0
     peer_address: str = ""
     answer: bytes = b""
+    description_digest: bytes = b""  # of the description that the viewer sent; empty where it is not known
 
     def set_up_request(self, record_id: str = "") -> SetUpRequest:
         """The set-up request of the session, for a front that continues it."""
@@ -47,7 +52,33 @@
 
 def decode(work: Work) -> ReplicatedSession | None:
     """The session that the record describes; None where a version with other fields wrote it."""
+    return _decode_body(work.body)
+
+
+def _decode_body(body: bytes) -> ReplicatedSession | None:
     try:
-        return _decoder.decode(work.body)
+        return _decoder.decode(body)
     except msgspec.MsgspecError:
         return None
+
+
+def digest_of(description: bytes) -> bytes:
+    """The digest by which descriptions are compared; empty for an empty one."""
+    return hashlib.sha256(description).digest()[:DIGEST_BYTES] if description else b""
+
+
+def is_same_work(body: bytes, other: bytes) -> bool:
+    """Whether two records' bodies describe the same work, as far as both tell."""
+    first, second = _decode_body(body), _decode_body(other)
+    if first is None or second is None:
+        return True
+    same_digest = (
+        not first.description_digest
+        or not second.description_digest
+        or first.description_digest == second.description_digest
+    )
+    return same_digest and (first.class_name, first.title, first.viewer_id) == (
+        second.class_name,
+        second.title,
+        second.viewer_id,
+    )
--- a/cloverhinge/ownership/wire.py
+++ b/cloverhinge/ownership/wire.py
@@ -13,7 +13,7 @@
 from msgspec import Meta
 
 from cloverhinge.members.wire import MessageError, Name, Number
-from cloverhinge.ownership.register import Ballot, Work
+from cloverhinge.ownership.register import MAX_BODY_BYTES, Ballot, Work
 
 T = TypeVar("T")
 
@@ -234,9 +234,13 @@
 
 
 class HandOverRequest(Item, tag=17, frozen=True):
-    """To the record's owner: its viewer came to the sending router, which asks for the record."""
+    """To the record's owner: its viewer came to the sending router, which asks for the record.
+
+    `body` describes the work that the viewer asks for; earlier versions leave it out, and ignore it.
+    """
 
     id: RecordId
+    body: Annotated[bytes, Meta(max_length=MAX_BODY_BYTES)] = b""
 
 
 class HandOver(Item, tag=18, frozen=True):
@@ -251,10 +255,12 @@
     """The record is not handed over.
 
     `set_up_pending`: its set-up is under way, ask again later; otherwise the sender does not own it.
+    `conflict`: the record is of other work than was asked for; earlier versions leave it out.
     """
 
     id: RecordId
     set_up_pending: bool
+    conflict: bool = False
 
 
 class HandOverAck(Item, tag=20, frozen=True):
--- a/cloverhinge/rtsp/client.py
+++ b/cloverhinge/rtsp/client.py
@@ -76,6 +76,10 @@
         """Answer that the set-up failed or timed out."""
         self._answer(504 if outcome is Outcome.TIMEOUT else 500)
 
+    def conflict(self) -> None:
+        """Answer that the session id is in use."""
+        self._answer(455)
+
     def released(self, cause: Cause) -> None:
         """Tell the client that its session has ended."""
         self.set_established(False)
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -14,7 +14,7 @@
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import Deadlines
-from cloverhinge.core.model import ServerPort, State
+from cloverhinge.core.model import ServerPort, SetUpRequest, State
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.discovery.updates import server_number
@@ -70,6 +70,8 @@
         self.identify: Callable[[str, str, str, str], int] | None = None
         # Set by ownership: the media server's answer to the set-up of a session.
         self.replicated_answer: Callable[[str], bytes] | None = None
+        # Set by ownership: whether a set-up's id is known to be that of another session, at any router.
+        self.conflicts_with_record: Callable[[SetUpRequest], bool] = lambda set_up: False
         # Set where other processes share the listener: passes on that a viewer has left a session that is not
         # held here, and a message for which there is no connection (False if it has to wait here).
         self.viewer_left_elsewhere: Callable[[str], None] | None = None
@@ -183,9 +185,11 @@
                 reservation_token=message.headers.get("x-ticket", ""),
             )
         client = RtspClient(self, connection.handle, connection.peer, set_up.session_id)
-        if self.replicated_answer is not None and self._reattach(
-            connection, set_up.session_id, bool(playing_at)
-        ):
+        if self.conflicts_with_record(set_up):
+            if not playing_at:
+                connection.send(messages.encode_response(455, "1", set_up.session_id))
+            return
+        if self.replicated_answer is not None and self._reattach(connection, set_up, bool(playing_at)):
             return
         if playing_at:
             if self.router.adopt(set_up, server_number(playing_at), client, self.servers) is not None:
@@ -232,19 +236,20 @@
         fields = {"X-Hold-Off": str(round(BUSY_RETRY_AFTER_MS))}
         connection.send(messages.encode_response(503, "1", session_id, fields))
 
-    def _reattach(self, connection: ClientConnection, session_id: str, established: bool) -> bool:
+    def _reattach(self, connection: ClientConnection, set_up: SetUpRequest, established: bool) -> bool:
         """Attach an established session whose connection is gone to the connection that requests it again.
 
         This is the case after a takeover from another router, or when the client reconnects.  `established`
         says that the client reports the session as playing already, in which case no answer is due.  Returns
         False if there is no such session.
         """
+        session_id = set_up.session_id
         request = self.router.by_session_id.get(session_id)
         client = None if request is None else request.client
         if request is None or request.state is not State.ESTABLISHED or not isinstance(client, RtspClient):
             return False
         previous = self.connections.get(client.connection_handle)
-        if previous is not None and not previous.gone:
+        if previous is not None and not previous.gone or not set_up.is_for_session_of(request.set_up):
             return False
         client.set_established(False)
         client.connection_handle, client.peer = connection.handle, connection.peer
--- a/cloverhinge/rtsp/replicated_sessions.py
+++ b/cloverhinge/rtsp/replicated_sessions.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from cloverhinge.core.model import Request
+from cloverhinge.core.model import Request, SetUpRequest
 from cloverhinge.core.router import Router
 from cloverhinge.ownership.component import SESSION_PREFIX, OwnershipComponent
-from cloverhinge.ownership.replicated_work import ReplicatedSession, decode
+from cloverhinge.ownership.replicated_work import ReplicatedSession, decode, digest_of, encode
 from cloverhinge.rtsp.client import RtspClient
 from cloverhinge.rtsp.front import RtspFrontend
 from cloverhinge.rtsp.media_servers import MediaServers
@@ -20,6 +20,7 @@
         self.ownership, self.router, self.front, self.servers = ownership, router, front, servers
         servers.is_handed_over = ownership.handed_over.__contains__
         front.replicated_answer = self.replicated_answer
+        front.conflicts_with_record = self.conflicts_with_record
         ownership.add_front(SESSION_PREFIX, self)
 
     def replicated_answer(self, session_id: str) -> bytes:
@@ -28,6 +29,16 @@
         session = None if work is None else decode(work)
         return b"" if session is None else session.answer
 
+    def conflicts_with_record(self, set_up: SetUpRequest) -> bool:
+        """Whether this router knows a record of another session under the set-up's id."""
+        session = ReplicatedSession(
+            set_up.class_name,
+            set_up.title,
+            set_up.viewer_id,
+            description_digest=digest_of(set_up.body),
+        )
+        return self.ownership.core.claim_conflicts(f"{SESSION_PREFIX}/{set_up.session_id}", encode(session))
+
     def record_name(self, text: str) -> str:
         return text
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -139,6 +139,9 @@
     def failed(self, outcome: Outcome | None) -> None:
         self.told.append(("failed", outcome))
 
+    def conflict(self) -> None:
+        self.told.append(("conflict",))
+
     def released(self, cause: Cause) -> None:
         self.told.append(("released", cause))
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -141,6 +141,9 @@
     def failed(self, why: Outcome | None) -> None:
         self.outcomes.append("errors")
 
+    def conflict(self) -> None:
+        self.outcomes.append("errors")
+
     def released(self, cause: Cause) -> None: ...
     def presence(self) -> Presence:
         return Presence.PRESENT
