Set-ups are not begun once their client has closed, however much of its input is unread

Cause: the check before the first byte sees a close only at the front of the unread input.

Change: while the queue is full the connection is read on, unparsed, within a budget for all connections; the half-close behind unread input counts as leaving; set-ups of a client that has left are dropped, TEARDOWNs and hand-overs in its input are still processed.

--- a/cloverhinge/hls/connections.py
+++ b/cloverhinge/hls/connections.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 from typing import Any
 
@@ -12,6 +11,7 @@
 from twisted.web.server import Site
 
 from cloverhinge.core.deadlines import DeadlineKey, Deadlines
+from cloverhinge.net.buffered import has_peer_closed
 
 IDLE_CONNECTION_S = 60
 # From a request's first byte until it is complete, else its connection is cut.  Longer than any set-up takes,
@@ -62,9 +62,7 @@
     """
     if request._disconnected or request.channel is None:
         return False
-    poller = select.poll()
-    poller.register(_socket_of(request.channel.transport).fileno(), select.POLLRDHUP)
-    return not poller.poll(0)
+    return not has_peer_closed(_socket_of(request.channel.transport))
 
 
 class TimedConnection(ProtocolWrapper):
--- a/cloverhinge/net/buffered.py
+++ b/cloverhinge/net/buffered.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from typing import Any
 
@@ -13,9 +14,18 @@
 from cloverhinge.net.output import STALL_TIMEOUT_MS, Output, OutputLimits
 
 MAX_MESSAGE_BYTES = 16 * 1024  # of one message, headers and body together
+READ_BYTES = 64 * 1024
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 UNREAD_GRACE_MS = 50.0  # time for the reactor to read data that is already in a socket's buffer
 
 
+def has_peer_closed(connection: socket.socket) -> bool:
+    """Whether the peer of a connection has closed its side; unread input before that does not hide it."""
+    poller = select.poll()
+    poller.register(connection.fileno(), select.POLLRDHUP)
+    return any(events & CLOSED_EVENTS for _, events in poller.poll(0))
+
+
 class BufferedReceiver(LineReceiver):
     """Implements LineReceiver's interface (`lineReceived`, `rawDataReceived`, the modes) on one `bytearray`.
 
@@ -87,14 +97,27 @@
 
         Returns `b""` at the end of the stream or after an error, and None if no data has arrived.
         """
+        return self._receive(1, socket.MSG_PEEK)
+
+    def receive_now(self) -> bytes | None:
+        """Read from the socket without waiting for the reactor's turn; returns as `peek` does."""
+        return self._receive(READ_BYTES, 0)
+
+    def _receive(self, size: int, flags: int) -> bytes | None:
         transport: Any = self.transport
         try:
-            unread: bytes = transport.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            data: bytes = transport.socket.recv(size, flags | socket.MSG_DONTWAIT)
         except (BlockingIOError, InterruptedError):
             return None
         except OSError:
             return b""
-        return unread
+        return data
+
+    @property
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed its side, also where that lies behind input that has not been read."""
+        transport: Any = self.transport
+        return has_peer_closed(transport.socket)
 
     @property
     def unread(self) -> bool:
--- a/cloverhinge/node.py
+++ b/cloverhinge/node.py
@@ -41,6 +41,7 @@
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)  # that the process handles
 BYTES_PER_MB = 1 << 20
 CLIENT_OUTPUT_SHARE = 1 / 8  # of the memory limit, for answers that clients have not read yet
+READ_AHEAD_SHARE = 1 / 32  # of the memory limit, for clients' input that waits to be parsed
 SERVER_OUTPUT_SHARE = 1 / 16  # of the memory limit, for what media servers have not read yet
 PUBLISH_PERIOD_MS = 1000.0  # interval at which the facts for other routers are updated
 
@@ -94,6 +95,7 @@
             self.deadlines,
             max_connections=config.sockets * 3 // 8,
             max_waiting_bytes=int(config.memory_mb * BYTES_PER_MB * CLIENT_OUTPUT_SHARE),
+            max_read_ahead_bytes=int(config.memory_mb * BYTES_PER_MB * READ_AHEAD_SHARE),
         )
         self.servers: dict[int, ServerAddress] = {}
         self.discovery = DiscoveryWatch(
--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -12,6 +12,7 @@
 
 from cloverhinge.core.containment import report_exception
 from cloverhinge.core.model import Presence, Request
+from cloverhinge.net.read_ahead import ReadAhead
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.client import RtspClient
 from cloverhinge.rtsp.intake import ReceivedSetUp, SetUpQueue
@@ -24,6 +25,7 @@
     2500.0  # from accepting a connection to its first complete message; closed afterwards
 )
 MAX_DELIVERIES = 64  # messages remembered for the case that the connection ends right after them
+MAX_CHUNKS_PER_TURN = 2  # of read-ahead input, each as much as is read at once
 MAX_FINAL_READS = 16  # of a connection's input before it is closed at the end of a shutdown
 PARTIAL_MESSAGE_TIMEOUT_MS = 2000.0  # from the first byte of a message to its last; closed afterwards
 
@@ -47,6 +49,9 @@
         self.rank: dict[int, ClientConnection] = front.awaiting_message
         self.unanswered: dict[str, Request] = {}  # open set-ups to answer on this connection, by session id
         self.queue = SetUpQueue()  # set-ups that have been read but not begun
+        self.read_ahead = ReadAhead(front.read_ahead_budget)  # read while the queue was full, not parsed yet
+        self.input_read_ms = 0.0  # when the input that is being parsed was read
+        self.client_left = False  # the client has closed its side: its set-ups are not begun
         self.paused = False  # whether reading is paused
         self.established_sessions: int = 0  # number of established sessions that were set up here
         self.has_sent_message = False  # whether a complete message has been received
@@ -61,13 +66,54 @@
         self.front.connection_opened(self)
 
     def dataReceived(self, data: bytes) -> None:
+        now = self.front.clock.now()
+        if len(self.read_ahead) or self.queue.full:
+            self.read_ahead.add(now, data)
+            self._read_on(now)
+        else:
+            self._parse(now, data)
+        self.front.scheduler.offer(self)
+        self._pause_or_resume_reading()
+
+    def _read_on(self, now: float) -> None:
+        """Read all that has arrived, as the client's close may lie behind it."""
+        while not self.read_ahead.full:
+            data = self.receive_now()
+            if data is None:
+                return
+            if not data:
+                self._discard_set_ups()
+                return
+            self.read_ahead.add(now, data)
+
+    def _parse(self, read_ms: float, data: bytes) -> None:
+        self.input_read_ms = read_ms
         super().dataReceived(data)
         if not self.mid_message:
             self.partial_since_ms = None
         elif self.partial_since_ms is None:
             self.partial_since_ms = self.front.clock.now()
-        self.front.scheduler.offer(self)
-        self._pause_or_resume_reading()
+
+    def _parse_read_ahead(self) -> None:
+        """Parse input that waits, while there is room for its set-ups; the rest in later turns."""
+        for _ in range(MAX_CHUNKS_PER_TURN):
+            if not len(self.read_ahead) or self.queue.full or self.gone:
+                return
+            self._parse(*self.read_ahead.take())
+        if len(self.read_ahead):
+            self.front.deadlines.after(0.0, self._pause_or_resume_reading)
+
+    def _discard_set_ups(self) -> None:
+        """The client has left: begin none of its set-ups; what ends its sessions is still processed."""
+        self.client_left = True
+        self.queue.clear()
+
+    def _parse_last_input(self) -> None:
+        """Process what ends or hands over sessions in the input that waits, as the connection has ended."""
+        if not self.gone and any(self.read_ahead.contains(x) for x in (b"TEARDOWN", b"at:")):
+            while len(self.read_ahead) and not self.gone:
+                self._parse(*self.read_ahead.take())
+        self.read_ahead.clear()
 
     def output_blocked_changed(self) -> None:
         """Read nothing more from a client that does not read its answers."""
@@ -75,7 +121,8 @@
 
     def _pause_or_resume_reading(self) -> None:
         """Read while there is room for set-ups and for answers, so that a flood takes bounded memory."""
-        paused = self.queue.full or self.output.blocked
+        self._parse_read_ahead()
+        paused = self.queue.full and self.read_ahead.full or self.output.blocked
         if paused != self.paused and not self.gone:
             transport: Any = self.transport
             self.paused = paused
@@ -89,6 +136,10 @@
         if self.gone:
             self.queue.clear()
             return
+        if len(self.queue) and self.presence() is Presence.GONE:
+            self._discard_set_ups()
+            self._pause_or_resume_reading()  # what ends its sessions may still be unread
+            return
         try:
             self.front.set_up(self, set_up)
         except messages.MalformedMessage as error:
@@ -139,9 +190,9 @@
     def presence(self) -> Presence:
         """Whether the client is still there, as the connection shows without reading from it."""
         unread = None if self.gone else self.peek()
-        if self.gone or unread == b"":
+        if self.gone or unread == b"" or unread and self.peer_has_closed:
             return Presence.GONE
-        return Presence.UNREAD if unread else Presence.PRESENT
+        return Presence.UNREAD if unread or len(self.read_ahead) else Presence.PRESENT
 
     @property
     def is_writable(self) -> bool:
@@ -191,8 +242,8 @@
         if message.method == "SETUP":
             if is_hand_over(message):  # already playing: its later end must reach the server
                 self.front.set_up(self, ReceivedSetUp(message, self.last_message_ms))
-            else:
-                self.queue.add(ReceivedSetUp(message, self.last_message_ms, self._wait_ms(message)))
+            elif not self.client_left:
+                self.queue.add(ReceivedSetUp(message, self.input_read_ms, self._wait_ms(message)))
                 self.front.update_rank(self)
         elif message.method == "TEARDOWN":
             self.queue.cancel(name)
@@ -205,5 +256,7 @@
             raise messages.MalformedMessage("unknown method", 501)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._discard_set_ups()
+        self._parse_last_input()
         super().connectionLost(reason)
         self.front.connection_closed(self)
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -19,6 +19,7 @@
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.discovery.updates import server_number
 from cloverhinge.net.output import DEFAULT_MAX_WAITING_BYTES, OutputLimits
+from cloverhinge.net.read_ahead import DEFAULT_TOTAL_BYTES, ReadAheadBudget
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.client import RtspClient
 from cloverhinge.rtsp.client_connection import ClientConnection, Delivery
@@ -50,9 +51,12 @@
         deadlines: Deadlines,
         max_connections: int,
         max_waiting_bytes: int = DEFAULT_MAX_WAITING_BYTES,
+        max_read_ahead_bytes: int = DEFAULT_TOTAL_BYTES,
     ) -> None:
-        """`max_waiting_bytes`: of answers that wait for clients to read, on all connections together."""
+        """`max_waiting_bytes`: of answers that wait for clients to read, on all connections together;
+        `max_read_ahead_bytes`: of input that waits to be parsed."""
         self.output_limits = OutputLimits(deadlines, max_waiting_bytes)
+        self.read_ahead_budget = ReadAheadBudget(max_read_ahead_bytes)
         self.router, self.servers, self.clock, self.deadlines = router, servers, clock, deadlines
         self.connections: SlotTable[ClientConnection] = SlotTable(max_connections)
         self.scheduler = SetUpScheduler(deadlines)
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 import queue
+import socket
+import time
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -14,6 +17,7 @@
 from cloverhinge.lab.harness import (
     TIMEOUT_S,
     FakeMediaServer,
+    Message,
     Program,
     RtspConnection,
     read_answer,
@@ -116,3 +120,68 @@
         program.resume()
         assert read_answer(client).status == 200
         assert servers[0].expect("TEARDOWN")[1].session == name
+
+
+LEFT_LIMIT_S = 0.15  # an attempt may begin until 0.1 s after its client has left; every limit is 50 ms longer
+
+
+def set_up_bytes(number: int) -> bytes:
+    """A set-up as one of a burst that is written at once."""
+    return (
+        f"SETUP rtsp://media/title-{number % 50} RTSP/1.0\r\nCSeq: 1\r\nSession: {number:016x}\r\n"
+        "X-Call-Class: free\r\nX-Ring-Limit: 3000\r\nX-Guess: 8200.0\r\n"
+        "X-Dest: home:0;copies:3;top:1;viewer:00000000b4d65521\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+def _await_silence(servers: list[FakeMediaServer], begun: list[float]) -> None:
+    """Returns once no set-up has arrived for much longer than a queue needs for its next turn."""
+    count = -1
+    while count != len(begun):
+        count = len(begun)
+        with suppress(queue.Empty):
+            while servers[0].inbox.get(timeout=0.5):
+                pass
+
+
+# Guards against set-ups that begin after their client has left, as its close lies behind unread input.
+@pytest.mark.parametrize("how", ["closes", "half-closes"])
+def test_no_attempt_begins_long_after_the_close_of_a_client_with_much_unread_input(
+    tmp_path: Path, how: str
+) -> None:
+    begun: list[float] = []
+    with running_program(tmp_path, 2) as (program, servers, _):
+        leaver = connect_and_warm_up(program, servers)
+
+        def refuse(connection: RtspConnection, message: Message) -> None:
+            begun.append(time.monotonic())
+            connection.send("RTSP/1.0 453 Not Enough Bandwidth", message.session)
+
+        for server in servers:
+            server.on_set_up = refuse
+        program.pause()
+        leaver.sock.sendall(b"".join(set_up_bytes(number) for number in range(100, 1450)))
+        if how == "closes":
+            leaver.close()
+        else:
+            leaver.sock.shutdown(socket.SHUT_WR)
+        left_s = time.monotonic()
+        program.resume()
+        _await_silence(servers, begun)
+        late = [x - left_s for x in begun if x - left_s > LEFT_LIMIT_S]
+        assert not late, (len(late), max(late))
+
+
+# Guards against the end of a session that is lost, as its client closes its connection right after it.
+def test_a_teardown_before_the_close_behind_many_set_ups_is_processed(tmp_path: Path) -> None:
+    with running_program(tmp_path, 1) as (program, servers, _):
+        leaver = connect_and_warm_up(program, servers)
+        servers[0].on_set_up = servers[0].leave_unanswered
+        teardown = (
+            f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {1:016x}\r\nContent-Length: 0\r\n\r\n"
+        )
+        leaver.sock.sendall(b"".join(set_up_bytes(n) for n in range(100, 900)) + teardown.encode())
+        leaver.sock.shutdown(socket.SHUT_WR)
+        _, message = servers[0].expect("TEARDOWN")
+        while message.session != f"{1:016x}":
+            _, message = servers[0].expect("TEARDOWN")
