Paid ids stay in use after their session: not set up again here, nor by another process

Cause: an id was known for as long as its request or session was in this process's table, and to this process alone.

Change: ids of paid requests that may have run are remembered for ten minutes in a table of fixed size; when it is full, new paid requests are refused. The log that processes share carries them, and the first process that records an id has it; the other one answers 455. Plays do the same with their play ids.

--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -99,6 +99,13 @@
     established_ms: float = 0.0  # when this router learned that it is
     rung: int | None = None  # None = the lowest of the class
     deadline: DeadlineKey | None = None  # at which it is failed if it is still open
+    handed_over: bool = False  # to another router or process, which has the session now
+
+    @property
+    def has_run(self) -> bool:
+        """Whether a media server may have run one of its attempts, the pending one included."""
+        pending = self.attempt is not None and self.attempt.written
+        return self.may_have_run or pending or self.server is not None
 
 
 @dataclass(slots=True, eq=False)
@@ -274,8 +281,8 @@
 class SharingPort(Protocol):
     """Optional: other processes under this router's name, to which clients and media servers talk as well."""
 
-    def take(self, set_up: SetUpRequest) -> None:
-        """This process has taken a request."""
+    def take(self, set_up: SetUpRequest) -> bool:
+        """This process takes a request; False if another process holds one with its id."""
 
     def take_over(self, set_up: SetUpRequest, server: int) -> bool:
         """Its viewer hands a session over to this process; False if another session has its id."""
--- a/cloverhinge/core/recent_ids.py
+++ b/cloverhinge/core/recent_ids.py
@@ -31,6 +31,21 @@
         entry = self._entries.get(id)
         return None if entry is None or entry[0] <= now else entry[1]
 
+    def knows(self, now: float, id: str) -> bool:
+        """Whether an id is remembered."""
+        entry = self._entries.get(id)
+        return entry is not None and entry[0] > now
+
+    def is_full(self, now: float) -> bool:
+        """Whether adding another id would make the oldest one leave before its time."""
+        self._expire(now)
+        return len(self._entries) >= self.capacity
+
+    def ids(self, now: float) -> list[str]:
+        """All ids that are remembered."""
+        self._expire(now)
+        return list(self._entries)
+
     def discard(self, id: str) -> None:
         """Forget an id, if it is remembered."""
         self._entries.pop(id, None)
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -62,9 +62,15 @@
 # After its release by the media server, a session may still be handed over, or taken over, within this time.
 UNHELD_RELEASE_TTL_MS = 30_000.0
 MAX_UNHELD_RELEASES = 4096
+PAID_ID_TTL_MS = 600_000.0  # longer than sessions last
+MAX_PAID_IDS = 32_768  # 54 paid set-ups a second
 CAUSES = {Outcome.SERVED: Cause.ENDED, Outcome.RESET: Cause.CUT, Outcome.CANCELLED: Cause.CANCELLED}
 
 
+class SessionIdInUseError(Exception):
+    """The id of a request is that of another request or session, or of a paid session that is over."""
+
+
 @dataclass(frozen=True, slots=True)
 class UnheldRelease:
     """A media server's release of a session that this process does not hold."""
@@ -106,6 +112,8 @@
         self.unheld_releases: RecentIds[UnheldRelease] = RecentIds(UNHELD_RELEASE_TTL_MS, MAX_UNHELD_RELEASES)
         self.on_concluded: Callable[[], None] = lambda: None  # called whenever an open request is concluded
         self.open_requests = 0
+        # Ids of paid requests that may have run and are over: none of them is set up again.
+        self.paid_ids: RecentIds[None] = RecentIds(PAID_ID_TTL_MS, MAX_PAID_IDS)
         # During a shutdown: Unix time by which every open request has its answer.
         self.answer_until_ms = math.inf
         self._events: deque[api.Event] = deque()
@@ -186,17 +194,20 @@
     def open_request(self, set_up: SetUpRequest, client: ClientPort, servers: ServerPort) -> Request | None:
         """Register a new request and pass it on to admission, or to the decision module where there is none.
 
-        Returns None if all slots are taken, if the process ends too soon to serve it, or if a request with
-        its session id exists already.
+        Returns None if all slots are taken, or if the process ends too soon to serve it.  Raises
+        `SessionIdInUseError` if its id is that of another request or session, or was paid for already.
         """
         now = self.clock.now()
-        too_late = now + MIN_SET_UP_MS > self.answer_until_ms
-        if self.requests.full or too_late or set_up.session_id in self.by_session_id:
-            self.counters.tallies[set_up.class_name].shed += set_up.session_id not in self.by_session_id
+        if set_up.session_id in self.by_session_id or self.paid_ids.knows(now, set_up.session_id):
+            raise SessionIdInUseError(set_up.session_id)
+        paid = self.classes[set_up.class_name].effect is Effect.ONCE
+        full = self.requests.full or paid and self.paid_ids.is_full(now)
+        if full or now + MIN_SET_UP_MS > self.answer_until_ms:
+            self.counters.tallies[set_up.class_name].shed += 1
             self.request_log.request(set_up.session_id, "not taken", open=self.open_requests)
             return None
-        if self.sharing is not None:
-            self.sharing.take(set_up)
+        if self.sharing is not None and not self.sharing.take(set_up):
+            raise SessionIdInUseError(set_up.session_id)
         request = self._register(set_up, client, servers, now)
         request.deadline = self.deadlines.schedule(
             now + max(0.0, set_up.wait_ms - OVERDUE_MARGIN_MS), lambda: self._overdue(request)
@@ -418,6 +429,7 @@
 
         An open request is failed.
         """
+        request.handed_over = True
         if request.state is State.ESTABLISHED:
             self._end(request, Outcome.CANCELLED, None, tell_server=False, tell_client=False)
         elif request.state is State.OPEN:
@@ -585,6 +597,7 @@
 
     def _drop(self, request: Request) -> None:
         self._table.remove(request)
+        self._remember_paid_id(request)
         if self.sharing is not None:
             self.sharing.over(request)
         if self.admission is not None:
@@ -594,6 +607,11 @@
             with contained("ownership is told of a request's end"):
                 self.ownership.ended(request)
 
+    def _remember_paid_id(self, request: Request) -> None:
+        """Remember the id of a paid request that may have run, unless another router has the session now."""
+        if request.service_class.effect is Effect.ONCE and request.has_run and not request.handed_over:
+            self.paid_ids.add(self.clock.now(), request.set_up.session_id, None)
+
     def _refuse(self, handle: int, retry_after_ms: float) -> None:
         request = self.requests.get(handle)
         if request is None or request.state is not State.OPEN:
--- a/cloverhinge/hls/plays.py
+++ b/cloverhinge/hls/plays.py
@@ -15,6 +15,7 @@
 
 from cloverhinge.core.deadlines import DeadlineKey, Deadlines
 from cloverhinge.core.model import Cause, Presence, Request, ServerPort, SetUpRequest, State
+from cloverhinge.core.recent_ids import RecentIds
 from cloverhinge.core.router import Router
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.decision.interface import Effect, Outcome
@@ -22,6 +23,9 @@
 from cloverhinge.site import Title
 
 MAX_PLAYS = 2048
+# A paid play is remembered this long after it was forgotten, so that its id is not set up again.
+PAID_PLAY_TTL_MS = 600_000.0
+MAX_PAID_PLAYS = 16_384  # remembered; when there are more, new paid plays are refused
 MAX_WAITERS = 64  # fetches that may wait for one set-up
 BUSY_RETRY_AFTER_MS = 1000.0  # the shortest retry-after of a refusal
 
@@ -57,6 +61,15 @@
     done: Deferred[None] = field(default_factory=Deferred)
 
 
+@dataclass(frozen=True, slots=True)
+class PaidPlay:
+    """What is remembered of a paid play that was set up, or may have been, and is over."""
+
+    class_name: str
+    title_name: str
+    failure: FetchFailed | None
+
+
 @dataclass(eq=False)
 class Play:
     """One viewing of a title by one player."""
@@ -192,6 +205,7 @@
         self.ownership: PlayOwnership | None = None
         self.by_id: dict[str, Play] = {}
         self.by_token: dict[str, Play] = {}
+        self.paid_plays: RecentIds[PaidPlay] = RecentIds(PAID_PLAY_TTL_MS, MAX_PAID_PLAYS)
 
     def find_or_add(self, play_id: str, class_name: str, title_name: str, title: Title) -> Play:
         """The play of this id, created if there is none.
@@ -203,10 +217,16 @@
             if (play.class_name, play.title_name) != (class_name, title_name):
                 raise FetchFailed(409, "this play id is in use for another title")
             return play
-        if self.table.full:
+        now, service_class = self.router.clock.now(), self.router.classes[class_name]
+        paid = service_class.effect is not Effect.REPEATABLE
+        earlier = self.paid_plays.get(now, play_id)
+        if earlier is not None and (earlier.class_name, earlier.title_name) != (class_name, title_name):
+            raise FetchFailed(409, "this play id was in use for another title")
+        if self.table.full or earlier is None and paid and self.paid_plays.is_full(now):
             raise FetchFailed(503, "too many plays", BUSY_RETRY_AFTER_MS)
-        service_class = self.router.classes[class_name]
-        play = Play(play_id, class_name, title_name, title, service_class.effect is not Effect.REPEATABLE)
+        play = Play(play_id, class_name, title_name, title, paid)
+        if earlier is not None:
+            play.ended, play.final_failure = earlier.failure is None, earlier.failure
         if self.ownership is not None:
             play.token = self.ownership.token(play_id)
         play.handle = self.table.put(play)
@@ -232,6 +252,9 @@
             return
         if play.request is not None:
             self.router.viewer_left(play.request)
+        if play.paid and (play.request is not None or play.ended or play.final_failure is not None):
+            over = PaidPlay(play.class_name, play.title_name, play.final_failure)
+            self.paid_plays.add(self.router.clock.now(), play.play_id, over)
         self.forget(play)
 
     def forget(self, play: Play) -> None:
--- a/cloverhinge/operations/session_log.py
+++ b/cloverhinge/operations/session_log.py
@@ -45,7 +45,6 @@
 
     process: str
     session: str
-    may_have_run: bool = True
 
 
 class Released(msgspec.Struct, tag="released", frozen=True):
@@ -77,13 +76,20 @@
     final: bool
 
 
+class Paid(msgspec.Struct, tag="paid", frozen=True):
+    """A paid session is over, or its set-up has failed: its id is not set up again by any process."""
+
+    process: str
+    session: str
+
+
 class Ended(msgspec.Struct, tag="ended", frozen=True):
     """The process applies no later entries: what it still holds is left to the others."""
 
     process: str
 
 
-Entry = Held | Established | Over | Released | ViewerLeft | Undelivered | Ended
+Entry = Held | Established | Over | Paid | Released | ViewerLeft | Undelivered | Ended
 
 _encoder = msgspec.json.Encoder()
 _decoder: msgspec.json.Decoder[Entry] = msgspec.json.Decoder(Entry)
--- a/cloverhinge/operations/shared_sessions.py
+++ b/cloverhinge/operations/shared_sessions.py
@@ -23,6 +23,7 @@
     Established,
     Held,
     Over,
+    Paid,
     Released,
     SessionLog,
     Undelivered,
@@ -64,9 +65,9 @@
             while entries := self.log.read_new():
                 for entry in entries:
                     self.directory.apply(entry)
-                    if isinstance(entry, Released):
+                    if isinstance(entry, Released | Paid):
                         self._act(entry)
-            self.log.compact(self.directory.snapshot())
+            self.log.compact(self._snapshot())
 
     def poll(self, running_pids: Collection[int]) -> None:
         """Act on new entries; `running_pids`: of the other processes under this router's name."""
@@ -79,7 +80,7 @@
                 self._process_ended(process)
         self._forget_ended_processes()
         if not self.others_run and self.log.is_large:
-            self.log.compact(self.directory.snapshot())
+            self.log.compact(self._snapshot())
 
     def begin_shutdown(self) -> None:
         """Viewers go to another process from now on, and so do messages that wait for a connection."""
@@ -95,9 +96,19 @@
 
     # The core's `SharingPort`
 
-    def take(self, set_up: SetUpRequest) -> None:
-        """Record that this process holds a new request."""
-        self._append(self._held(set_up, hand_over=False))
+    def take(self, set_up: SetUpRequest) -> bool:
+        """Record that this process holds a new request; False if another one was first, or had it before.
+
+        Where the log cannot be written, this process acts as if it were alone.
+        """
+        if not self._append(self._held(set_up, hand_over=False)):
+            return True
+        self._read()
+        if self.router.paid_ids.knows(self.clock.now(), set_up.session_id):
+            self._append(Over(self.process, set_up.session_id))
+            return False
+        holder = self.directory.holders.get(set_up.session_id)
+        return holder is None or holder.process == self.process
 
     def take_over(self, set_up: SetUpRequest, server: int) -> bool:
         """Record that this process holds a session that its viewer has handed over.
@@ -115,8 +126,11 @@
 
     def over(self, request: Request) -> None:
         """Record the end of a request or session."""
-        may_have_run = request.may_have_run or request.server is not None
-        self._append(Over(self.process, request.set_up.session_id, may_have_run))
+        session = request.set_up.session_id
+        entries: list[Entry] = [Over(self.process, session)]
+        if self.router.paid_ids.knows(self.clock.now(), session):
+            entries.insert(0, Paid(self.process, session))
+        self._append(*entries)
 
     def released(self, session_id: str, server: int, outcome: Outcome) -> None:
         """Record a media server's release, unless this process is alone and holds the session."""
@@ -147,6 +161,10 @@
         paid = self.router.classes[set_up.class_name].effect is not Effect.REPEATABLE
         return Held(self.process, set_up.session_id, set_up.class_name, set_up.title, paid, hand_over)
 
+    def _snapshot(self) -> list[Entry]:
+        paid_ids = self.router.paid_ids.ids(self.clock.now())
+        return [Paid(self.process, x) for x in paid_ids] + self.directory.snapshot()
+
     def _append_undelivered(self, session: str, peer: str, data: bytes) -> None:
         text = data.decode("utf-8", "replace")
         self._append(Undelivered(self.process, session, peer, text, final=self.ending))
@@ -167,6 +185,8 @@
         match entry:
             case Held(_, session):
                 self._handed_over(session)
+            case Paid(_, session):
+                self.router.paid_ids.add(self.clock.now(), session, None)
             case Released(_, session, server, cause):
                 self.router.end_released(session, server, _outcome(cause))
             case ViewerLeft(process, session):
@@ -216,6 +236,9 @@
         for process, ended_ms in list(self._ended_ms.items()):
             if self.clock.now() - ended_ms > HAND_OVER_TIMEOUT_MS:
                 del self._ended_ms[process]
+                for session in self.directory.held_by(process):
+                    if self.directory.holders[session].paid:
+                        self.router.paid_ids.add(self.clock.now(), session, None)
                 self.directory.forget(process)
 
 
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -15,7 +15,7 @@
 from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.model import ServerPort, SetUpRequest, State
-from cloverhinge.core.router import Router
+from cloverhinge.core.router import Router, SessionIdInUseError
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.discovery.updates import server_number
 from cloverhinge.net.output import DEFAULT_MAX_WAITING_BYTES, OutputLimits
@@ -198,10 +198,17 @@
         if playing_at:
             if self.router.adopt(set_up, server_number(playing_at), client, self.servers) is not None:
                 client.set_established(True)
-        elif set_up.session_id in self.router.by_session_id:
+        else:
+            self._open_request(connection, set_up, client)
+
+    def _open_request(self, connection: ClientConnection, set_up: SetUpRequest, client: RtspClient) -> None:
+        try:
+            request = self.router.open_request(set_up, client, self.servers)
+        except SessionIdInUseError:
             self.router.request_log.request(set_up.session_id, "refused, its id is in use")
             connection.send(messages.encode_response(455, "1", set_up.session_id))
-        elif (request := self.router.open_request(set_up, client, self.servers)) is None:
+            return
+        if request is None:
             self._refuse_busy(connection, set_up.session_id)
         elif request.state is State.OPEN:
             connection.unanswered[set_up.session_id] = request
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,7 @@
 from cloverhinge.core.clock import ManualClock, to_ms, to_us
 from cloverhinge.core.deadlines import Deadlines
 from cloverhinge.core.model import Attempt, Cause, Presence, Request, SetUpRequest, State
-from cloverhinge.core.router import ANSWER_MARGIN_MS, GIVE_UP_DELAY_MS, Router
+from cloverhinge.core.router import ANSWER_MARGIN_MS, GIVE_UP_DELAY_MS, Router, SessionIdInUseError
 from cloverhinge.core.slots import SlotTable
 from cloverhinge.decision import interface as api
 from cloverhinge.decision.interface import Outcome
@@ -341,3 +341,40 @@
     assert all(server.link.booked == 0.0 for server in harness.router.controller.fleet.servers.values())
     later = harness.take(SEATED.name)
     assert later.state is State.OPEN and len(harness.sent) == 2, "its seat is free"
+
+
+@pytest.mark.parametrize("how", ["served and ended", "given up by its client", "failed"])
+def test_paid_id_that_may_have_run_is_not_set_up_again(how: str) -> None:
+    """Guards against a paid session that is set up twice, as its id came again after its client had left."""
+    harness = Stand()
+    request = harness.take("paid")
+    attempt = harness.sent[0]
+    assert harness.router.may_write(attempt)
+    match how:
+        case "served and ended":
+            harness.router.answered(attempt, b"made")
+            harness.router.session_ended(request, Outcome.SERVED)
+        case "given up by its client":
+            harness.router.viewer_left(request)
+        case "failed":
+            harness.router.attempt_ended(attempt, Outcome.RESET)
+    for class_name in ("paid", "film"):
+        harness.count = 0
+        with pytest.raises(SessionIdInUseError):
+            harness.take(class_name)
+    assert len(harness.sent) == 1
+
+
+def test_paid_id_that_never_ran_may_be_tried_again_and_a_full_table_refuses_new_ones() -> None:
+    """Guards against ids that are kept for refusals, and paid ids that are forgotten when there are many."""
+    harness = Stand()
+    harness.router.conclude_unsent(harness.take("paid"))
+    harness.count = 0
+    request = harness.take("paid")
+    harness.router.paid_ids.capacity = 1
+    assert harness.router.may_write(harness.sent[-1])
+    harness.router.viewer_left(request)
+    set_up = SetUpRequest(f"{9:016x}", "paid", "t", 0, 6, 2, 3000.0)
+    assert harness.router.open_request(set_up, harness, harness) is None
+    harness.clock.advance(harness.router.paid_ids.ttl_ms)
+    assert harness.router.open_request(set_up, harness, harness) is not None
--- a/tests/test_plays.py
+++ b/tests/test_plays.py
@@ -112,3 +112,29 @@
     with pytest.raises(FetchFailed) as raised:
         fetches.fetch(title="u")
     assert raised.value.status == 409
+
+
+def test_paid_play_that_was_forgotten_is_not_set_up_again() -> None:
+    """Guards against a paid play that is set up twice, as its player was away beyond the idle time."""
+    fetches = Fetches()
+    fetches.fetch()
+    fetches.answer()
+    fetches.stand.pass_ms(31_000.0)
+    assert "attempt-1" not in fetches.plays.by_id
+    assert isinstance(fetches.fetch()[0], PlayEnded) and len(fetches.stand.sent) == 1
+    fetches.stand.pass_ms(31_000.0)
+    with pytest.raises(FetchFailed, match="another title"):
+        fetches.fetch(title="other")
+    assert isinstance(fetches.fetch()[0], PlayEnded) and len(fetches.stand.sent) == 1
+
+
+def test_new_paid_plays_are_refused_rather_than_earlier_ones_forgotten() -> None:
+    """Guards against a table of paid plays that is full and loses the oldest one, or grows."""
+    fetches = Fetches()
+    fetches.plays.paid_plays.capacity = 1
+    fetches.fetch()
+    fetches.answer()
+    fetches.stand.pass_ms(31_000.0)
+    with pytest.raises(FetchFailed, match="too many plays"):
+        fetches.fetch(key="attempt-2")
+    assert isinstance(fetches.fetch()[0], PlayEnded) and len(fetches.stand.sent) == 1
--- a/tests/test_shared_sessions.py
+++ b/tests/test_shared_sessions.py
@@ -203,3 +203,36 @@
     second.close()
     assert first.compact([Ended("a")])
     assert second.open() and second.read_new() == [Ended("a")] and first.read_new() == []
+
+
+def set_up_paid(viewer: RtspConnection, number: int) -> int:
+    send_set_up(viewer, number, "paid")
+    return read_answer(viewer).status
+
+
+@pytest.mark.parametrize("when", ["while both run", "after the old process has ended"])
+def test_paid_id_of_the_old_process_is_not_set_up_again_by_the_new_one(tmp_path: Path, when: str) -> None:
+    """Guards against a paid session that is played twice, as its client came again at an upgrade."""
+    with upgrade(tmp_path) as made:
+        made.server.on_set_up = made.server.accept
+        assert set_up_paid(made.old_viewer, 7) == 200
+        made.old_viewer.send("TEARDOWN rtsp://media/session RTSP/1.0", f"{7:016x}", 2)
+        assert read_answer(made.old_viewer).status == 200
+        if when == "after the old process has ended":
+            made.old_viewer.close()
+            made.end_old()
+        assert set_up_paid(made.new_viewer, 7) == 455
+        assert made.server.set_up_sessions.count(f"{7:016x}") == 1
+
+
+@pytest.mark.parametrize("class_name", ["paid", "free"])
+def test_id_that_is_open_at_the_old_process_is_in_use_at_the_new_one(tmp_path: Path, class_name: str) -> None:
+    """Guards against one id that two processes set up at the same time."""
+    with upgrade(tmp_path) as made:
+        made.server.on_set_up = made.server.leave_unanswered
+        session = send_set_up(made.old_viewer, 7, class_name, wait_ms=2000)
+        while made.server.expect("SETUP")[1].session != session:
+            pass
+        send_set_up(made.new_viewer, 7, class_name)
+        assert read_answer(made.new_viewer).status == 455
+        assert made.server.set_up_sessions.count(session) == 1
