HLS requests are worked off in short steps, and none while their player does not read

Cause: a read of 64 KB holds some 1,500 requests, which twisted.web answers within the read, copying the rest for each; there was no limit for the work of one turn, and reading stopped for unread answers only between two reads.

Change: the connections of the HLS front give HTTP their input in pieces of 512 bytes, one connection in turn, for 10 ms of an iteration of the reactor, and stop while the player does not read.

--- a/cloverhinge/hls/connections.py
+++ b/cloverhinge/hls/connections.py
@@ -12,12 +12,14 @@
 
 from cloverhinge.core.deadlines import DeadlineKey, Deadlines
 from cloverhinge.net.buffered import has_peer_closed
+from cloverhinge.net.turns import TurnScheduler
 
 IDLE_CONNECTION_S = 60
 # From a request's first byte until it is complete, else its connection is cut.  Longer than any set-up takes,
 # since a request may arrive while the previous one waits for its answer.
 REQUEST_TIMEOUT_MS = 8000.0
 FIRST_REQUEST_GRACE_MS = 200.0  # a new connection's first request may still be on its way
+PIECE_BYTES = 512  # of input parsed at once: a few of the shortest requests
 MAX_BODY_BYTES = 16 * 1024
 
 
@@ -65,6 +67,28 @@
     return not has_peer_closed(_socket_of(request.channel.transport))
 
 
+class OutputProducer:
+    """Stands between a transport and HTTP, and notes whether the player reads its answers."""
+
+    def __init__(self, connection: TimedConnection, producer: Any) -> None:
+        self.connection, self.producer = connection, producer
+
+    def pauseProducing(self) -> None:
+        """The transport's buffer is full."""
+        self.connection.output_blocked = True
+        self.producer.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """The player has read what was written."""
+        self.connection.output_blocked = False
+        self.producer.resumeProducing()
+        self.connection.continue_parsing()
+
+    def stopProducing(self) -> None:
+        """The connection has ended."""
+        self.producer.stopProducing()
+
+
 class TimedConnection(ProtocolWrapper):
     """A connection that is cut unless each request is complete within a fixed time.
 
@@ -77,9 +101,16 @@
     receiving = False  # whether part of a request has been received
     new = True  # whether no request has been answered yet
     opened_ms = 0.0
+    paused_by_channel = False  # whether HTTP wants no more input until it has answered
+    output_blocked = False  # whether the player does not read its answers
+    ended = False
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        super().registerProducer(OutputProducer(self, producer), streaming)  # type: ignore[no-untyped-call]
 
     def connectionMade(self) -> None:
         self.opened_ms = self._deadlines.clock.now()
+        self._unparsed = bytearray()  # input that has been read
         self._start_timeout()
         super().connectionMade()  # type: ignore[no-untyped-call]
 
@@ -104,15 +135,59 @@
     def is_idle(self, now: float) -> bool:
         """Whether no request is being received or answered, and none may be on its way unnoticed."""
         young = self.new and now - self.opened_ms < FIRST_REQUEST_GRACE_MS
-        return not (self.answering or self.receiving or young or has_unread_input(self))
+        unread = bool(self._unparsed) or has_unread_input(self)
+        return not (self.answering or self.receiving or young or unread)
 
     def dataReceived(self, data: bytes) -> None:
+        """Leave the input to the scheduler: one read may hold more requests than fit into a turn."""
+        self._unparsed += data
+        self.continue_parsing()
+
+    def do_step(self) -> bool:
+        """Parse a piece of the input, and answer the requests that end in it."""
+        if self.ended or self._must_wait:
+            return False
+        piece = bytes(self._unparsed[:PIECE_BYTES])
+        del self._unparsed[:PIECE_BYTES]
         self.receiving = True
         if self.timeout_key is None:
             self._start_timeout()
-        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        super().dataReceived(piece)  # type: ignore[no-untyped-call]
+        self._pause_or_resume_reading()
+        return bool(self._unparsed) and not self._must_wait
+
+    @property
+    def _must_wait(self) -> bool:
+        return self.paused_by_channel or self.output_blocked
+
+    def continue_parsing(self) -> None:
+        """Have the input worked off, if it may be."""
+        if self._unparsed and not self._must_wait:
+            factory: Any = self.factory
+            factory.scheduler.offer(self)
+        self._pause_or_resume_reading()
+
+    def pauseProducing(self) -> None:
+        """HTTP has a request to answer, or the player does not read its answers."""
+        self.paused_by_channel = True
+        self._pause_or_resume_reading()
+
+    def resumeProducing(self) -> None:
+        """HTTP takes the next request."""
+        self.paused_by_channel = False
+        self.continue_parsing()
+
+    def _pause_or_resume_reading(self) -> None:
+        transport: Any = self.transport
+        if transport is None or self.ended:
+            return
+        if self._unparsed or self._must_wait:
+            transport.pauseProducing()
+        else:
+            transport.resumeProducing()
 
     def connectionLost(self, reason: Any = None) -> None:
+        self.ended = True
         self.request_complete()
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
@@ -126,6 +201,7 @@
     def __init__(self, wrapped: Any, max_connections: int, deadlines: Deadlines) -> None:
         super().__init__(wrapped)  # type: ignore[no-untyped-call]
         self.max_connections, self.deadlines = max_connections, deadlines
+        self.scheduler = TurnScheduler(deadlines)
 
     def buildProtocol(self, addr: Any) -> Any:
         return None if len(self.protocols) >= self.max_connections else super().buildProtocol(addr)
