A media server that resets its old connections has restarted, though the list is heard

Cause: while the change log is heard, no news of a restart was taken for no restart, however late its events are.

Change: the old connections are sent a progress message, which is free, once their sessions are unproven for 5.5 s; a reset in answer to it is a restart.

--- a/cloverhinge/rtsp/messages.py
+++ b/cloverhinge/rtsp/messages.py
@@ -15,6 +15,7 @@
 METHOD = re.compile(r"[A-Z_]{1,32}")
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 REASON_PHRASES = {
+    100: "Continue",
     200: "OK",
     400: "Bad Request",
     403: "Forbidden",
--- a/cloverhinge/rtsp/server_liveness.py
+++ b/cloverhinge/rtsp/server_liveness.py
@@ -3,7 +3,8 @@
 A connection that comes up shows that a machine can be reached, and that some process listens there.  It does
 not show that this process has the sessions set up before: the machine may have restarted.  Only a connection
 that was open before proves that, by an answer on it, by an orderly close, or by staying open though something
-was sent on it, as a restarted machine resets it.  The other proof is the list, which names a process's start.
+was sent on it, as a restarted machine resets it.  The other proof is the list, which names a process's start;
+it may be late, so a reset tells more than a list that names none.
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
     NOTHING = "nothing"
     CHECK = "open a connection, to see whether it can be reached"
     PING = "send something on the old connections, to see whether they are reset"
+    PROGRESS = "send a progress message on the old connections, which costs nothing, for the same purpose"
     SILENT = "it is silent, and all its sessions are lost"
     RESTARTED = "its process may be a new one, and the sessions from before `successor_since_ms` are lost"
 
@@ -104,14 +106,16 @@
         self, since_ms: float, now: float, has_old_connection: bool, list_is_current: bool
     ) -> Verdict:
         unproven_ms = now - self.proven_ms
-        if list_is_current:
+        if unproven_ms > SILENCE_CHECK_MS and has_old_connection and self.pinged_ms is None:
+            return Verdict.PROGRESS if list_is_current else Verdict.PING
+        if self.pinged_ms is not None and not has_old_connection:
+            return Verdict.RESTARTED  # they were reset by what was sent on them
+        if list_is_current:  # though its events may be late
             if unproven_ms > SILENCE_LOST_MS and now - since_ms > LIST_DELAY_MS:
                 self._prove(now)
             return Verdict.NOTHING
         if unproven_ms > SILENCE_LOST_MS and not has_old_connection:
             return Verdict.RESTARTED
-        if unproven_ms > SILENCE_CHECK_MS and has_old_connection and self.pinged_ms is None:
-            return Verdict.PING
         return Verdict.NOTHING
 
     def pinged(self, now: float) -> None:
--- a/cloverhinge/rtsp/server_pool.py
+++ b/cloverhinge/rtsp/server_pool.py
@@ -312,6 +312,9 @@
         elif verdict is Verdict.PING:
             self.liveness.pinged(now)
             self._ping(self._old_connections())
+        elif verdict is Verdict.PROGRESS:
+            self.liveness.pinged(now)
+            self._send_progress(self._old_connections())
         elif verdict is not Verdict.NOTHING:
             if any(connection.unread for connection in self.all_connections()):
                 return  # this process was paused: read first what has arrived meanwhile
@@ -335,6 +338,13 @@
                     messages.encode_request("OPTIONS", "rtsp://media/ping", 3, self.servers.next_probe_id())
                 )
 
+    def _send_progress(self, connections: list[ServerConnection]) -> None:
+        """Send a message that means nothing: a machine that has restarted resets the connection."""
+        sessions = self.servers.router.established.get(self.address.number, {})
+        session_id = next((x.set_up.session_id for x in sessions.values()), "")
+        for connection in (x for x in connections if x.half_closed_ms is None):
+            connection.send(messages.encode_response(100, "1", session_id))
+
     def _lose_sessions(self, reason: str, established_before_ms: float = math.inf) -> None:
         """Cut the sessions that a lost process had, and drop the connections to it."""
         self.servers.log.warn(
--- a/tests/test_server_restarts.py
+++ b/tests/test_server_restarts.py
@@ -152,3 +152,29 @@
     listing = harness.router.listings[1]
     harness.router.update_fleet(api.ListKind.DELTA, [api.ServerListing(1, 1, kind=listing.kind)])
     assert client.released_with is None
+
+
+# Guards against a new process at the old address that is taken for the old one, as the list runs late.
+def test_sessions_are_cut_when_the_old_connection_is_reset_by_a_message_though_the_list_is_heard() -> None:
+    harness = Harness(2)
+    client, old = silent_server(harness)
+    harness.open_connection()  # the machine is back
+    harness.advance(400)
+    sent = cast(Any, old.transport).value()
+    assert b"RTSP/1.0 100 " in sent and b"OPTIONS" not in sent, "it costs nothing, and wants no answer"
+    lose(old, ConnectionLost())
+    harness.advance(CUT_LIMIT_MS - 500 - 5_900 - 400)
+    assert client.released_with is not None
+
+
+# Guards against sessions that are cut at a server that is silent for long, and well.
+def test_sessions_are_kept_at_a_silent_server_that_resets_nothing() -> None:
+    harness = Harness(2)
+    client, _ = silent_server(harness)
+    opened = 1
+    for _ in range(600):  # a minute, in which each check comes up at once, and nothing is ever sent
+        if len(harness.reactor.factories) > opened:
+            harness.open_connection()
+            opened = len(harness.reactor.factories)
+        harness.advance(100)
+    assert client.released_with is None
