--- a/cloverhinge/operations/session_directory.py
+++ b/cloverhinge/operations/session_directory.py
@@ -52,9 +52,13 @@
     def _hold(self, held: Held) -> None:
         self.processes.add(held.process)
         holder = self.holders.get(held.session)
-        if holder is None or held.hand_over and holder.matches(held):
+        if holder is None or held.hand_over and self._may_hand_over(holder, held):
             self.holders[held.session] = Holder(held.process, held.class_name, held.title, held.paid)
 
+    def _may_hand_over(self, holder: Holder, held: Held) -> bool:
+        """Whether a hand-over names a session that is established, or whose process is gone."""
+        return holder.matches(held) and (holder.server is not None or holder.process in self.ended)
+
     def held_by(self, process: str) -> list[str]:
         """The ids of the requests and sessions that a process holds."""
         return [session for session, holder in self.holders.items() if holder.process == process]
--- a/tests/test_shared_sessions.py
+++ b/tests/test_shared_sessions.py
@@ -23,7 +23,7 @@
     send_set_up,
 )
 from cloverhinge.operations.session_directory import SessionDirectory
-from cloverhinge.operations.session_log import Ended, Held, Over, SessionLog
+from cloverhinge.operations.session_log import Ended, Established, Held, Over, SessionLog
 from tests import guards
 
 FIRST, SECOND = f"{1:016x}", f"{2:016x}"
@@ -185,6 +185,9 @@
     """Guards against two processes that take the same id at the same time."""
     directory = SessionDirectory()
     directory.apply(Held("a", FIRST, "paid", "title"))
+    directory.apply(Held("b", FIRST, "paid", "title", hand_over=True))
+    assert directory.holders[FIRST].process == "a", "its set-up is still open"
+    directory.apply(Established("a", FIRST, 1))
     directory.apply(Held("b", FIRST, "paid", "title", hand_over=hand_over_flag))
     assert directory.holders[FIRST].process == holder
     directory.apply(Held("c", FIRST, "paid", "another title", hand_over=True))
