Set-ups parsed from input read ahead are begun, and none is parsed for a slow reader

Found by reading the change before the landing: input that was read ahead and parsed in a later turn put set-ups into the queue of a connection that was no longer registered with the scheduler, and was parsed on for a client that does not read its answers. Not seen in a run: the new test of tests/test_floods.py (set-ups behind 20,000 other requests) passes on the code before as well.

--- a/cloverhinge/rtsp/client_connection.py
+++ b/cloverhinge/rtsp/client_connection.py
@@ -95,13 +95,14 @@
             self.partial_since_ms = self.front.clock.now()
 
     def _parse_read_ahead(self) -> None:
-        """Parse input that waits, while there is room for its set-ups; the rest in later turns."""
+        """Parse input that waits, while there is room for set-ups and answers; the rest in later turns."""
         for _ in range(MAX_CHUNKS_PER_TURN):
-            if not len(self.read_ahead) or self.queue.full or self.gone:
-                return
+            if not len(self.read_ahead) or self.queue.full or self.output.blocked or self.gone:
+                break
             self._parse(*self.read_ahead.take())
-        if len(self.read_ahead):
+        else:
             self.front.deadlines.after(0.0, self._pause_or_resume_reading)
+        self.front.scheduler.offer(self)
 
     def _discard_set_ups(self) -> None:
         """The client has left: begin none of its set-ups; what ends its sessions is still processed."""
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, cast
@@ -105,6 +106,35 @@
         assert {read_answer(flooding).status for _ in range(1, 3 * FLOOD)} <= {200, 503}
 
 
+def test_set_ups_behind_much_other_input_are_answered(tmp_path: Path) -> None:
+    """Guards against set-ups that are parsed from input read ahead, and never begun."""
+    others, last = 20_000, 5
+    options = messages.encode_request("OPTIONS", "rtsp://media/ping", 3, f"{0xFFFF:016x}")
+    with running_program(tmp_path, 2) as (program, _, _log):
+        client = program.connect()
+        first = b"".join(repeatable_set_up(number) for number in range(1, 2 * FLOOD))
+        later = b"".join(repeatable_set_up(number) for number in range(5000, 5000 + last))
+        sender = threading.Thread(target=client.sock.sendall, args=(first + options * others + later,))
+        sender.start()
+        answered = set[str]()
+        while len(answered) < 2 * FLOOD - 1 + last + 1:
+            answer = client.read()
+            assert answer is not None
+            answered.add(answer.session)
+        sender.join()
+
+
+def repeatable_set_up(number: int) -> bytes:
+    """A set-up of a repeatable class in the settings of processes."""
+    return messages.encode_request(
+        "SETUP",
+        "rtsp://media/title",
+        1,
+        f"{number:016x}",
+        {"X-Call-Class": "free", "X-Ring-Limit": "3000", "X-Dest": "home:0;copies:3;top:1"},
+    )
+
+
 def test_sources_take_turns_and_a_turn_is_bounded() -> None:
     clock, begun = ManualClock(), list[str]()
     deadlines = Deadlines(clock)
