A TEARDOWN that a killed process had not read reaches the media server

A viewer's TEARDOWN at the new process of an upgrade is remembered until the old one has read it; where that one is killed before, the new process was to release the session itself. The look-up asked for the value of an entry whose value is always None, so it found none, and the media server played on.

Evidence: the new test of tests/test_shared_sessions.py (the old process is paused, told, and killed) failed with queue.Empty before and passes now.

--- a/cloverhinge/operations/shared_sessions.py
+++ b/cloverhinge/operations/shared_sessions.py
@@ -222,7 +222,7 @@
         self._ended_ms[process] = now = self.clock.now()
         self.directory.ended.add(process)
         for session in self.directory.held_by(process):
-            if self._left.get(now, session) is not None:
+            if self._left.knows(now, session):
                 self._release_abandoned(session)
 
     def _release_abandoned(self, session: str) -> None:
--- a/tests/test_shared_sessions.py
+++ b/tests/test_shared_sessions.py
@@ -157,6 +157,18 @@
         assert message.session == FIRST
 
 
+def test_teardown_at_the_new_process_is_not_lost_with_an_old_one_that_is_killed(tmp_path: Path) -> None:
+    """Guards against a session that plays on, as its process died before it read that the viewer had left."""
+    with upgrade(tmp_path) as made:
+        made.old.pause()
+        made.new_viewer.send("TEARDOWN rtsp://media/session RTSP/1.0", FIRST, 2)
+        assert read_answer(made.new_viewer).status == 200
+        made.old.process.kill()
+        made.old.process.wait()
+        _, message = made.server.expect("TEARDOWN")
+        assert message.session == FIRST
+
+
 def test_session_released_before_its_hand_over_is_not_taken_over(tmp_path: Path) -> None:
     """Guards against a session that stands for good, as its release came before the hand-over."""
     with upgrade(tmp_path) as made:
