Members: TCP is bound before UDP, so that another try for a free port can succeed

What was seen: tests/test_slow_clients.py failed once in a whole run; a router with members on port 0 had ended at its start. Played again, 14 at a time: 5 of 168 starts, each with an AssertionError of twisted.

Cause: where the port got for UDP was in use for TCP, the same datagram protocol was bound again while its first transport was still closing.

--- a/cloverhinge/members/transport.py
+++ b/cloverhinge/members/transport.py
@@ -179,13 +179,14 @@
     def _listen(self) -> tuple[str, int]:
         host, port = self.site.listen
         for tries_left in reversed(range(PORT_TRIES)):
-            self._udp = self.reactor.listenUDP(port, self, interface=host, maxPacketSize=65536)
-            bound_port: int = self._udp.getHost().port
+            # TCP first: a factory is made anew for another try, and this protocol can be bound only once.
+            self._tcp = self.reactor.listenTCP(port, IncomingFactory(self), interface=host)
+            bound_port: int = self._tcp.getHost().port
             try:
-                self._tcp = self.reactor.listenTCP(bound_port, IncomingFactory(self), interface=host)
+                self._udp = self.reactor.listenUDP(bound_port, self, interface=host, maxPacketSize=65536)
                 return host, bound_port
             except CannotListenError:
-                self._udp.stopListening()
+                self._tcp.stopListening()
                 if port or not tries_left:
                     raise
         raise AssertionError("unreachable")
