One turn scheduler serves the set-ups of RTSP and the input of HLS

The scheduler of the HLS front was written beside that of the set-ups, with the same queue, budget and next iteration. SetUpScheduler is now a TurnScheduler that begins set-ups and refuses those that have waited too long; HLS has one that parses pieces.

--- a/cloverhinge/hls/connections.py
+++ b/cloverhinge/hls/connections.py
@@ -10,6 +10,7 @@
 from twisted.web.server import Request as HttpRequest
 from twisted.web.server import Site
 
+from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import DeadlineKey, Deadlines
 from cloverhinge.net.buffered import has_peer_closed
 from cloverhinge.net.turns import TurnScheduler
@@ -143,10 +144,13 @@
         self._unparsed += data
         self.continue_parsing()
 
-    def do_step(self) -> bool:
+    @property
+    def can_parse(self) -> bool:
+        """Whether input waits that may be parsed now."""
+        return bool(self._unparsed) and not self.ended and not self._must_wait
+
+    def parse_piece(self) -> None:
         """Parse a piece of the input, and answer the requests that end in it."""
-        if self.ended or self._must_wait:
-            return False
         piece = bytes(self._unparsed[:PIECE_BYTES])
         del self._unparsed[:PIECE_BYTES]
         self.receiving = True
@@ -154,7 +158,6 @@
             self._start_timeout()
         super().dataReceived(piece)  # type: ignore[no-untyped-call]
         self._pause_or_resume_reading()
-        return bool(self._unparsed) and not self._must_wait
 
     @property
     def _must_wait(self) -> bool:
@@ -162,9 +165,8 @@
 
     def continue_parsing(self) -> None:
         """Have the input worked off, if it may be."""
-        if self._unparsed and not self._must_wait:
-            factory: Any = self.factory
-            factory.scheduler.offer(self)
+        factory: Any = self.factory
+        factory.scheduler.offer(self)
         self._pause_or_resume_reading()
 
     def pauseProducing(self) -> None:
@@ -192,6 +194,17 @@
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
 
+class InputScheduler(TurnScheduler[TimedConnection]):
+    """Parses what players have sent, a piece of each connection in turn."""
+
+    def has_work(self, source: TimedConnection) -> bool:
+        return source.can_parse
+
+    def do_step(self, source: TimedConnection) -> None:
+        with contained("input of a player is parsed"):
+            source.parse_piece()
+
+
 class BoundedFactory(WrappingFactory):
     """Accepts up to `max_connections` connections at a time; further ones are closed at once."""
 
@@ -201,7 +214,7 @@
     def __init__(self, wrapped: Any, max_connections: int, deadlines: Deadlines) -> None:
         super().__init__(wrapped)  # type: ignore[no-untyped-call]
         self.max_connections, self.deadlines = max_connections, deadlines
-        self.scheduler = TurnScheduler(deadlines)
+        self.scheduler = InputScheduler(deadlines)
 
     def buildProtocol(self, addr: Any) -> Any:
         return None if len(self.protocols) >= self.max_connections else super().buildProtocol(addr)
--- a/cloverhinge/rtsp/intake.py
+++ b/cloverhinge/rtsp/intake.py
@@ -15,9 +15,9 @@
 
 from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import Deadlines
+from cloverhinge.net.turns import TurnScheduler
 from cloverhinge.rtsp import messages
 
-MAX_TURN_MS = 10.0  # time for beginning set-ups, a few of them, before other connections are read again
 MIN_REMAINING_MS = 100.0  # of a set-up's time: with less left it is refused instead of begun
 OVERDUE_SCAN_MS = 20.0  # interval at which set-ups with less time left are looked for
 MAX_QUEUED_SET_UPS = 256  # per connection; reading from it is paused until some have begun
@@ -104,62 +104,26 @@
         """Refuse a set-up that has waited too long."""
 
 
-class SetUpScheduler:
-    """Begins queued set-ups round-robin.  A source is registered once, while its queue is not empty."""
+class SetUpScheduler(TurnScheduler[SetUpSource]):
+    """Begins queued set-ups, one of each connection in turn."""
 
     def __init__(self, deadlines: Deadlines) -> None:
-        self.deadlines = deadlines
-        self._sources: deque[SetUpSource] = deque()
-        self._registered: set[SetUpSource] = set()
-        self._scheduled = False
-        self._used_ms = 0.0  # of MAX_TURN_MS, in the present iteration of the reactor
+        super().__init__(deadlines)
         self._next_scan_ms = 0.0
 
-    def offer(self, source: SetUpSource) -> None:
-        """Register a source whose queue may have become non-empty; begin at once if no other source waits."""
-        if not len(source.queue) or source in self._registered:
-            return
-        self._registered.add(source)
-        self._sources.append(source)
-        if not self._scheduled:
-            self._run_turn()
+    def has_work(self, source: SetUpSource) -> bool:
+        return len(source.queue) > 0
+
+    def do_step(self, source: SetUpSource) -> None:
+        source.begin(source.queue.next())
 
     def cancel(self, session: str) -> None:
         """Remove a session's set-ups from all queues; the cancellation may arrive on any connection."""
         for source in self._registered:
             source.queue.cancel(session)
 
-    def _run_turn(self) -> None:
-        """Begin set-ups until MAX_TURN_MS of this iteration are used; go on in the next if some are left."""
-        self._scheduled = True  # sources offered during this turn are appended
-        clock = self.deadlines.clock
-        started_ms = clock.now()
-        try:
-            self._refuse_overdue(started_ms)
-            self._begin_until(started_ms + MAX_TURN_MS - self._used_ms)
-        finally:
-            self._used_ms += clock.now() - started_ms
-            self._scheduled = bool(self._sources) or self._used_ms >= MAX_TURN_MS
-            if self._scheduled:
-                self.deadlines.after(0.0, self._next_iteration)
-
-    def _begin_until(self, until_ms: float) -> None:
-        while self._sources and self.deadlines.clock.now() < until_ms:
-            source = self._sources.popleft()
-            try:
-                if len(source.queue):
-                    source.begin(source.queue.next())
-            finally:
-                if len(source.queue):
-                    self._sources.append(source)
-                else:
-                    self._registered.discard(source)
-
-    def _next_iteration(self) -> None:
-        self._used_ms = 0.0
-        self._run_turn()
-
-    def _refuse_overdue(self, now: float) -> None:
+    def begin_turn(self, now: float) -> None:
+        """Refuse set-ups that have too little time left, at intervals."""
         if now < self._next_scan_ms:
             return
         self._next_scan_ms = now + OVERDUE_SCAN_MS
--- a/tests/test_client_left.py
+++ b/tests/test_client_left.py
@@ -24,6 +24,7 @@
     running_program,
     send_set_up,
 )
+from tests.test_floods import set_up
 
 PING = "OPTIONS rtsp://media/ping RTSP/1.0"
 PING_SESSION = "00000000000000ff"  # of a ping whose answer shows that everything before it has been read
@@ -125,13 +126,9 @@
 LEFT_LIMIT_S = 0.15  # an attempt may begin until 0.1 s after its client has left; every limit is 50 ms longer
 
 
-def set_up_bytes(number: int) -> bytes:
-    """A set-up as one of a burst that is written at once."""
-    return (
-        f"SETUP rtsp://media/title-{number % 50} RTSP/1.0\r\nCSeq: 1\r\nSession: {number:016x}\r\n"
-        "X-Call-Class: free\r\nX-Ring-Limit: 3000\r\nX-Guess: 8200.0\r\n"
-        "X-Dest: home:0;copies:3;top:1;viewer:00000000b4d65521\r\nContent-Length: 0\r\n\r\n"
-    ).encode()
+def burst(numbers: range) -> bytes:
+    """Set-ups with these numbers, as they are written at once."""
+    return b"".join(set_up(number, "free", f"title-{number % 50}") for number in numbers)
 
 
 def _await_silence(servers: list[FakeMediaServer], begun: list[float]) -> None:
@@ -160,7 +157,7 @@
         for server in servers:
             server.on_set_up = refuse
         program.pause()
-        leaver.sock.sendall(b"".join(set_up_bytes(number) for number in range(100, 1450)))
+        leaver.sock.sendall(burst(range(100, 1450)))
         if how == "closes":
             leaver.close()
         else:
@@ -180,7 +177,7 @@
         teardown = (
             f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {1:016x}\r\nContent-Length: 0\r\n\r\n"
         )
-        leaver.sock.sendall(b"".join(set_up_bytes(n) for n in range(100, 900)) + teardown.encode())
+        leaver.sock.sendall(burst(range(100, 900)) + teardown.encode())
         leaver.sock.shutdown(socket.SHUT_WR)
         _, message = servers[0].expect("TEARDOWN")
         while message.session != f"{1:016x}":
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -12,12 +12,12 @@
 from cloverhinge.core.model import ClientPort, ServerPort, SetUpRequest
 from cloverhinge.core.router import Router
 from cloverhinge.lab.harness import read_answer, running_program, send_set_up
+from cloverhinge.net.turns import MAX_TURN_MS
 from cloverhinge.rtsp import messages
 from cloverhinge.rtsp.front import RtspFrontend
 from cloverhinge.rtsp.intake import (
     MAX_QUEUED_BYTES,
     MAX_QUEUED_SET_UPS,
-    MAX_TURN_MS,
     ReceivedSetUp,
     SetUpQueue,
     SetUpScheduler,
@@ -34,13 +34,13 @@
     )
 
 
-def set_up(number: int) -> bytes:
+def set_up(number: int, class_name: str = "film", title: str = "title") -> bytes:
     return messages.encode_request(
         "SETUP",
-        "rtsp://media/title",
+        f"rtsp://media/{title}",
         1,
         f"{number:016x}",
-        {"X-Call-Class": "film", "X-Ring-Limit": "3000", "X-Dest": "home:0;copies:3;top:1"},
+        {"X-Call-Class": class_name, "X-Ring-Limit": "3000", "X-Dest": "home:0;copies:3;top:1"},
         b"v=0",
     )
 
@@ -112,8 +112,8 @@
     options = messages.encode_request("OPTIONS", "rtsp://media/ping", 3, f"{0xFFFF:016x}")
     with running_program(tmp_path, 2) as (program, _, _log):
         client = program.connect()
-        first = b"".join(repeatable_set_up(number) for number in range(1, 2 * FLOOD))
-        later = b"".join(repeatable_set_up(number) for number in range(5000, 5000 + last))
+        first = b"".join(set_up(number, "free") for number in range(1, 2 * FLOOD))
+        later = b"".join(set_up(number, "free") for number in range(5000, 5000 + last))
         sender = threading.Thread(target=client.sock.sendall, args=(first + options * others + later,))
         sender.start()
         answered = set[str]()
@@ -124,17 +124,6 @@
         sender.join()
 
 
-def repeatable_set_up(number: int) -> bytes:
-    """A set-up of a repeatable class in the settings of processes."""
-    return messages.encode_request(
-        "SETUP",
-        "rtsp://media/title",
-        1,
-        f"{number:016x}",
-        {"X-Call-Class": "free", "X-Ring-Limit": "3000", "X-Dest": "home:0;copies:3;top:1"},
-    )
-
-
 def test_sources_take_turns_and_a_turn_is_bounded() -> None:
     clock, begun = ManualClock(), list[str]()
     deadlines = Deadlines(clock)
