--- a/cloverhinge/core/model.py
+++ b/cloverhinge/core/model.py
@@ -31,15 +31,6 @@
     retry_after_step_ms: float = 1.0  # granularity of retry-after times on the wire
     record_id: str = ""  # key of its ownership record; empty = its session id
 
-    def is_for_session_of(self, other: SetUpRequest) -> bool:
-        """Whether it asks for the session that another set-up with its id has led to."""
-        same_body = not self.body or not other.body or self.body == other.body
-        return same_body and (self.class_name, self.title, self.viewer_id) == (
-            other.class_name,
-            other.title,
-            other.viewer_id,
-        )
-
 
 class State(Enum):
     """State of a request and of the session that results from it."""
--- a/cloverhinge/core/recent_ids.py
+++ b/cloverhinge/core/recent_ids.py
@@ -15,9 +15,6 @@
         self.ttl_ms, self.capacity = ttl_ms, capacity
         self._entries: OrderedDict[str, tuple[float, T]] = OrderedDict()  # oldest first
 
-    def __len__(self) -> int:
-        return len(self._entries)
-
     def add(self, now: float, id: str, value: T) -> None:
         """Remember an id from now on; an earlier value of it is replaced."""
         self._expire(now)
@@ -28,8 +25,7 @@
 
     def get(self, now: float, id: str) -> T | None:
         """The value of an id, None if it is not remembered."""
-        entry = self._entries.get(id)
-        return None if entry is None or entry[0] <= now else entry[1]
+        return self._entries[id][1] if self.knows(now, id) else None
 
     def knows(self, now: float, id: str) -> bool:
         """Whether an id is remembered."""
@@ -46,10 +42,6 @@
         self._expire(now)
         return list(self._entries)
 
-    def discard(self, id: str) -> None:
-        """Forget an id, if it is remembered."""
-        self._entries.pop(id, None)
-
     def _expire(self, now: float) -> None:
         while self._entries and next(iter(self._entries.values()))[0] <= now:
             self._entries.popitem(last=False)
--- a/cloverhinge/core/router.py
+++ b/cloverhinge/core/router.py
@@ -360,17 +360,9 @@
         """Conclude a request, of which nothing has been sent, whose id is in use for another session."""
         if request.state is not State.OPEN:
             return
-        attempt = request.attempt
-        if attempt is not None and not attempt.ended_by_sender:
-            self._give_up(attempt)
         self._log(request, "refused, its id is in use for another session")
         request.tally.errors += 1
-        self._conclude(request)
-        with contained("a client is told of a conflict"):
-            request.client.conflict()
-        self.dispatch(api.ViewerLeft(request.handle))
-        if attempt is not None:
-            self._report_ended(attempt, Outcome.MOOT, concluded=True)
+        self._conclude_and_tell(request, request.client.conflict, Outcome.MOOT)
 
     def answer_open_requests(self) -> None:
         """Give every open request its final answer, as the process is about to end.
@@ -394,20 +386,25 @@
 
         A pending attempt is given up and ends with `attempt_outcome`.
         """
-        attempt = request.attempt
-        if attempt is not None and not attempt.ended_by_sender:
-            self._give_up(attempt)
         self._log(request, "concluded", failure=failure and failure.value)
         if failure is not None:
             request.tally.errors += 1
+            self._conclude_and_tell(request, lambda: request.client.failed(failure), attempt_outcome)
         else:
             request.tally.shed += 1
+            retry_after_ms = retry_after_ms if self.settings.retry_after else 0.0
+            self._conclude_and_tell(request, lambda: request.client.refused(retry_after_ms), attempt_outcome)
+
+    def _conclude_and_tell(
+        self, request: Request, tell: Callable[[], None], attempt_outcome: Outcome
+    ) -> None:
+        """Give up what is pending of a request, conclude it and tell its client, then the decision module."""
+        attempt = request.attempt
+        if attempt is not None and not attempt.ended_by_sender:
+            self._give_up(attempt)
         self._conclude(request)
         with contained("a client is told of a conclusion"):
-            if failure is not None:
-                request.client.failed(failure)
-            else:
-                request.client.refused(retry_after_ms if self.settings.retry_after else 0.0)
+            tell()
         self.dispatch(api.ViewerLeft(request.handle))
         if attempt is not None:
             self._report_ended(attempt, attempt_outcome, concluded=True)
--- a/cloverhinge/hls/connections.py
+++ b/cloverhinge/hls/connections.py
@@ -12,7 +12,7 @@
 
 from cloverhinge.core.containment import contained
 from cloverhinge.core.deadlines import DeadlineKey, Deadlines
-from cloverhinge.net.buffered import has_peer_closed
+from cloverhinge.net.buffered import has_peer_closed, receive
 from cloverhinge.net.turns import TurnScheduler
 
 IDLE_CONNECTION_S = 60
@@ -52,10 +52,7 @@
 
 def has_unread_input(transport: Any) -> bool:
     """Whether the socket of a transport holds data that has not been read."""
-    try:
-        return bool(_socket_of(transport).recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:  # nothing has arrived, or the connection is broken
-        return False
+    return bool(receive(_socket_of(transport), 1, socket.MSG_PEEK))
 
 
 def is_connected(request: Any) -> bool:
--- a/cloverhinge/hls/plays.py
+++ b/cloverhinge/hls/plays.py
@@ -49,6 +49,11 @@
         )
 
 
+def play_id_in_use() -> FetchFailed:
+    """The failure of a fetch whose play id belongs to another title or class."""
+    return FetchFailed(409, "this play id is in use for another title")
+
+
 class PlayEnded(Exception):
     """The play has ended; the fetch is answered with an ended playlist."""
 
@@ -93,6 +98,10 @@
     waiters: list[Waiter] = field(default_factory=list)
     expiry: DeadlineKey | None = None
 
+    def is_of(self, class_name: str, title_name: str) -> bool:
+        """Whether it is a viewing of this title in this class."""
+        return (self.class_name, self.title_name) == (class_name, title_name)
+
     def wake_waiters(self, error: Exception | None = None) -> None:
         """Resume all waiting fetches, or fail them with `error`."""
         waiters, self.waiters = self.waiters, []
@@ -146,7 +155,7 @@
 
     def conflict(self) -> None:
         """The play id is in use for another title, at another router."""
-        self._fail(FetchFailed(409, "this play id is in use for another title"))
+        self._fail(play_id_in_use())
 
     def _fail(self, failure: FetchFailed) -> None:
         self.failure = failure
@@ -214,8 +223,8 @@
         """
         play = self.by_id.get(play_id)
         if play is not None:
-            if (play.class_name, play.title_name) != (class_name, title_name):
-                raise FetchFailed(409, "this play id is in use for another title")
+            if not play.is_of(class_name, title_name):
+                raise play_id_in_use()
             return play
         now, service_class = self.router.clock.now(), self.router.classes[class_name]
         paid = service_class.effect is not Effect.REPEATABLE
@@ -312,12 +321,11 @@
             return play.request
         raise FetchFailed(503, "the session was lost while it was set up", BUSY_RETRY_AFTER_MS)
 
-    def _start(self, play: Play) -> None:
+    def set_up_request(self, play: Play, session_id: str) -> SetUpRequest:
+        """The set-up request for a play, under this session id."""
         title, service_class = play.title, self.router.classes[play.class_name]
-        client = PlayClient(self, play)
-        play.set_up_answer = None
-        set_up = SetUpRequest(
-            self.new_session_id(),
+        return SetUpRequest(
+            session_id,
             play.class_name,
             play.title_name,
             title.first_cell,
@@ -332,6 +340,11 @@
             retry_after_step_ms=BUSY_RETRY_AFTER_MS,
             record_id=f"h/{play.token}" if self.ownership is not None else "",
         )
+
+    def _start(self, play: Play) -> None:
+        client = PlayClient(self, play)
+        play.set_up_answer = None
+        set_up = self.set_up_request(play, self.new_session_id())
         request = self.router.open_request(set_up, client, self.servers)
         if request is None:
             raise FetchFailed(503, "too many requests", BUSY_RETRY_AFTER_MS)
--- a/cloverhinge/hls/replicated_plays.py
+++ b/cloverhinge/hls/replicated_plays.py
@@ -12,11 +12,19 @@
 
 from cloverhinge.core.model import Request, State
 from cloverhinge.hls.media_servers import HlsServers
-from cloverhinge.hls.plays import BUSY_RETRY_AFTER_MS, FetchFailed, Play, PlayClient, PlayEnded, Plays
+from cloverhinge.hls.plays import (
+    BUSY_RETRY_AFTER_MS,
+    FetchFailed,
+    Play,
+    PlayClient,
+    PlayEnded,
+    Plays,
+    play_id_in_use,
+)
 from cloverhinge.ownership.component import CLAIM_TIMEOUT_MS, OwnershipComponent
 from cloverhinge.ownership.model import Verdict
 from cloverhinge.ownership.register import Phase, Work
-from cloverhinge.ownership.replicated_work import ReplicatedSession
+from cloverhinge.ownership.replicated_work import ReplicatedSession, describe
 from cloverhinge.site.model import HlsSettings
 
 RECORD_PREFIX = "h"
@@ -52,22 +60,12 @@
             return
         if ownership.core.leaving:
             raise FetchFailed(503, "this router ends, another one serves", BUSY_RETRY_AFTER_MS)
-        title = play.title
         deadline_ms = (
             ownership.clock.now()
             + ownership.router.classes[play.class_name].deadline_us / 1000.0
             - SET_UP_RESERVE_MS
         )
-        session = ReplicatedSession(
-            play.class_name,
-            play.title_name,
-            play.play_id,
-            first_cell=title.first_cell,
-            copies=title.copies,
-            ceiling=title.ceiling,
-            length_ms=title.length_ms,
-            peer_address=play.peer_address,
-        )
+        session = describe(self.plays.set_up_request(play, session_id=""))
         answer: Deferred[tuple[Verdict, Work | None]] = Deferred()
         ownership.claim(
             id,
@@ -86,7 +84,7 @@
             raise play.final_failure
         if verdict is Verdict.CONFLICT:
             self.plays.forget(play)  # else the player whose id it is would be refused here
-            raise FetchFailed(409, "this play id is in use for another title")
+            raise play_id_in_use()
         if verdict is Verdict.OWNED_ELSEWHERE:
             raise FetchFailed(503, "another router has this play", BUSY_RETRY_AFTER_MS)
         if verdict is Verdict.UNREPLICATED:
@@ -145,11 +143,9 @@
     def _forget_conflicting_play(self, session: ReplicatedSession) -> None:
         """Drop a play that a player has begun here under the id of the record, for another title."""
         play = self.plays.by_id.get(session.viewer_id)
-        if play is None or (play.class_name, play.title_name) == (session.class_name, session.title):
-            return
-        if play.request is None:
+        if play is not None and not play.is_of(session.class_name, session.title) and play.request is None:
             self.plays.forget(play)
-            play.wake_waiters(FetchFailed(409, "this play id is in use for another title"))
+            play.wake_waiters(play_id_in_use())
 
     def ownership_lost(self, id: str) -> None:
         play = self.plays.by_token.get(id[2:])
--- a/cloverhinge/net/buffered.py
+++ b/cloverhinge/net/buffered.py
@@ -26,6 +26,16 @@
     return any(events & CLOSED_EVENTS for _, events in poller.poll(0))
 
 
+def receive(connection: socket.socket, size: int, flags: int = 0) -> bytes | None:
+    """Read from a socket without waiting: None if nothing has arrived, `b""` at the end or after an error."""
+    try:
+        return connection.recv(size, flags | socket.MSG_DONTWAIT)
+    except (BlockingIOError, InterruptedError):
+        return None
+    except OSError:
+        return b""
+
+
 class BufferedReceiver(LineReceiver):
     """Implements LineReceiver's interface (`lineReceived`, `rawDataReceived`, the modes) on one `bytearray`.
 
@@ -97,21 +107,13 @@
 
         Returns `b""` at the end of the stream or after an error, and None if no data has arrived.
         """
-        return self._receive(1, socket.MSG_PEEK)
+        transport: Any = self.transport
+        return receive(transport.socket, 1, socket.MSG_PEEK)
 
     def receive_now(self) -> bytes | None:
         """Read from the socket without waiting for the reactor's turn; returns as `peek` does."""
-        return self._receive(READ_BYTES, 0)
-
-    def _receive(self, size: int, flags: int) -> bytes | None:
         transport: Any = self.transport
-        try:
-            data: bytes = transport.socket.recv(size, flags | socket.MSG_DONTWAIT)
-        except (BlockingIOError, InterruptedError):
-            return None
-        except OSError:
-            return b""
-        return data
+        return receive(transport.socket, READ_BYTES)
 
     @property
     def peer_has_closed(self) -> bool:
--- a/cloverhinge/operations/session_log.py
+++ b/cloverhinge/operations/session_log.py
@@ -15,79 +15,74 @@
 import msgspec
 from twisted.logger import Logger
 
+from cloverhinge.decision.interface import Outcome
+
 MAX_READ_BYTES = 4 * 1024 * 1024  # of one read; the rest is read by the next one
 # A file is compacted once its process is alone, and it has this size and twice that of the last compaction.
 COMPACTION_BYTES = 256 * 1024
 MAX_LOG_BYTES = 64 * 1024 * 1024  # nothing more is appended to a file of this size
 
 
-class Held(msgspec.Struct, tag="held", frozen=True):
-    """A process has taken a request, or a session that was handed over to it."""
+class ProcessEntry(msgspec.Struct, frozen=True):
+    """An entry of one process."""
 
     process: str
+
+
+class SessionEntry(ProcessEntry, frozen=True):
+    """An entry of one process about one session."""
+
     session: str
+
+
+class Held(SessionEntry, tag="held", frozen=True):
+    """The process has taken a request, or a session that was handed over to it."""
+
     class_name: str
     title: str
     paid: bool = False
     hand_over: bool = False  # it takes the session over from the process that holds it
 
 
-class Established(msgspec.Struct, tag="established", frozen=True):
+class Established(SessionEntry, tag="established", frozen=True):
     """The session of a held request is established at this media server."""
 
-    process: str
-    session: str
     server: int
 
 
-class Over(msgspec.Struct, tag="over", frozen=True):
-    """A process has concluded a request without a session, or ended the session."""
-
-    process: str
-    session: str
+class Over(SessionEntry, tag="over", frozen=True):
+    """The process has concluded a request without a session, or ended the session."""
 
 
-class Released(msgspec.Struct, tag="released", frozen=True):
+class Released(SessionEntry, tag="released", frozen=True):
     """A media server has released a session, on a connection of this process."""
 
-    process: str
-    session: str
     server: int
-    cause: int
+    outcome: Outcome
 
 
-class ViewerLeft(msgspec.Struct, tag="left", frozen=True):
+class ViewerLeft(SessionEntry, tag="left", frozen=True):
     """A viewer has ended a session, or given its set-up up, on a connection of this process."""
 
-    process: str
-    session: str
-
 
-class Undelivered(msgspec.Struct, tag="undelivered", frozen=True):
+class Undelivered(SessionEntry, tag="undelivered", frozen=True):
     """A message to a viewer for which this process has no connection.
 
     `final`: the process will get no connection any more, so the others keep the message for theirs.
     """
 
-    process: str
-    session: str
     peer: str
     data: str
     final: bool
 
 
-class Paid(msgspec.Struct, tag="paid", frozen=True):
+class Paid(SessionEntry, tag="paid", frozen=True):
     """A paid session is over, or its set-up has failed: its id is not set up again by any process."""
 
-    process: str
-    session: str
-
 
-class Ended(msgspec.Struct, tag="ended", frozen=True):
+class Ended(ProcessEntry, tag="ended", frozen=True):
     """The process applies no later entries: what it still holds is left to the others."""
 
-    process: str
-
 
 Entry = Held | Established | Over | Paid | Released | ViewerLeft | Undelivered | Ended
 
@@ -163,11 +158,6 @@
                 continue
         return entries
 
-    @property
-    def has_unread(self) -> bool:
-        """Whether the file holds more than has been read."""
-        return self.descriptor is not None and os.fstat(self.descriptor).st_size > self._offset
-
     @property
     def is_large(self) -> bool:
         """Whether the file should be compacted."""
--- a/cloverhinge/operations/shared_sessions.py
+++ b/cloverhinge/operations/shared_sessions.py
@@ -12,7 +12,7 @@
 
 from cloverhinge.core.clock import Clock
 from cloverhinge.core.containment import contained
-from cloverhinge.core.model import Cause, Request, SetUpRequest
+from cloverhinge.core.model import Request, SetUpRequest
 from cloverhinge.core.recent_ids import RecentIds
 from cloverhinge.core.router import Router
 from cloverhinge.decision.interface import Effect, Outcome
@@ -136,7 +136,7 @@
         """Record a media server's release, unless this process is alone and holds the session."""
         holder = self.directory.holders.get(session_id)
         if self.others_run or holder is not None and holder.process != self.process:
-            self._append(Released(self.process, session_id, server, _cause(outcome).value))
+            self._append(Released(self.process, session_id, server, outcome))
 
     # For the RTSP front
 
@@ -187,8 +187,8 @@
                 self._handed_over(session)
             case Paid(_, session):
                 self.router.paid_ids.add(self.clock.now(), session, None)
-            case Released(_, session, server, cause):
-                self.router.end_released(session, server, _outcome(cause))
+            case Released(_, session, server, outcome):
+                self.router.end_released(session, server, outcome)
             case ViewerLeft(process, session):
                 self._viewer_left(process, session)
             case Undelivered(_, session, peer, data, final):
@@ -240,12 +240,3 @@
                     if self.directory.holders[session].paid:
                         self.router.paid_ids.add(self.clock.now(), session, None)
                 self.directory.forget(process)
-
-
-def _cause(outcome: Outcome) -> Cause:
-    return {Outcome.SERVED: Cause.ENDED, Outcome.CANCELLED: Cause.CANCELLED}.get(outcome, Cause.CUT)
-
-
-def _outcome(cause: int) -> Outcome:
-    causes = {Cause.ENDED.value: Outcome.SERVED, Cause.CANCELLED.value: Outcome.CANCELLED}
-    return causes.get(cause, Outcome.RESET)
--- a/cloverhinge/ownership/component.py
+++ b/cloverhinge/ownership/component.py
@@ -28,7 +28,7 @@
 from cloverhinge.ownership.model import Verdict
 from cloverhinge.ownership.persistence import Persist
 from cloverhinge.ownership.register import Phase, Work
-from cloverhinge.ownership.replicated_work import ReplicatedSession, decode, digest_of, encode, is_same_work
+from cloverhinge.ownership.replicated_work import ReplicatedSession, decode, describe, encode, is_same_work
 from cloverhinge.ownership.wire import Member, name_of
 from cloverhinge.site.model import OwnershipSettings
 from cloverhinge.store import Mark
@@ -373,22 +373,13 @@
     @staticmethod
     def _session_of(request: Request, server: int | None, answer: bytes = b"") -> ReplicatedSession:
         """The replicated description of a request; `server`: where it is or may be established, if any."""
-        set_up, server_number = request.set_up, -1 if server is None else server
-        return ReplicatedSession(
-            set_up.class_name,
-            set_up.title,
-            set_up.viewer_id,
-            set_up.session_id if server_number >= 0 else "",
-            server_number,
-            request.rung,
-            set_up.first_cell,
-            set_up.copies,
-            set_up.ceiling,
-            set_up.length_ms,
-            set_up.peer_address,
-            answer if len(answer) <= MAX_ANSWER_BYTES and not set_up.record_id else b"",
-            digest_of(set_up.body),
-        )
+        set_up, session = request.set_up, describe(request.set_up)
+        session.rung = request.rung
+        if server is not None and server >= 0:
+            session.session_id, session.server = set_up.session_id, server
+        if len(answer) <= MAX_ANSWER_BYTES and not set_up.record_id:
+            session.answer = answer
+        return session
 
     # The core's `OwnershipPort`
 
--- a/cloverhinge/ownership/core.py
+++ b/cloverhinge/ownership/core.py
@@ -257,10 +257,13 @@
         """
         record = self.owned.get(id)
         attempt = self.acquisitions.get(id)
-        if record is not None and self._conflicts(record.work, body):
-            self._actions.append(Answer(number, Verdict.CONFLICT, None))
-            return self._take_actions(now)
-        if attempt is not None and attempt.callers and not self.is_same_work(attempt.proposed.body, body):
+        if (
+            record is not None
+            and self._conflicts(record.work, body)
+            or attempt is not None
+            and attempt.callers
+            and not self.is_same_work(attempt.proposed.body, body)
+        ):
             self._actions.append(Answer(number, Verdict.CONFLICT, None))
             return self._take_actions(now)
         if record is not None and not record.hand_over_to and attempt is None:
--- a/cloverhinge/ownership/replicated_work.py
+++ b/cloverhinge/ownership/replicated_work.py
@@ -67,6 +67,21 @@
     return hashlib.sha256(description).digest()[:DIGEST_BYTES] if description else b""
 
 
+def describe(set_up: SetUpRequest) -> ReplicatedSession:
+    """The replicated description of a set-up request, without what a media server has made of it."""
+    return ReplicatedSession(
+        set_up.class_name,
+        set_up.title,
+        set_up.viewer_id,
+        first_cell=set_up.first_cell,
+        copies=set_up.copies,
+        ceiling=set_up.ceiling,
+        length_ms=set_up.length_ms,
+        peer_address=set_up.peer_address,
+        description_digest=digest_of(set_up.body),
+    )
+
+
 def is_same_work(body: bytes, other: bytes) -> bool:
     """Whether two records' bodies describe the same work, as far as both tell."""
     first, second = _decode_body(body), _decode_body(other)
--- a/cloverhinge/rtsp/front.py
+++ b/cloverhinge/rtsp/front.py
@@ -193,7 +193,9 @@
             if not playing_at:
                 connection.send(messages.encode_response(455, "1", set_up.session_id))
             return
-        if self.replicated_answer is not None and self._reattach(connection, set_up, bool(playing_at)):
+        if self.replicated_answer is not None and self._reattach(
+            connection, set_up.session_id, bool(playing_at)
+        ):
             return
         if playing_at:
             if self.router.adopt(set_up, server_number(playing_at), client, self.servers) is not None:
@@ -247,20 +249,19 @@
         fields = {"X-Hold-Off": str(round(BUSY_RETRY_AFTER_MS))}
         connection.send(messages.encode_response(503, "1", session_id, fields))
 
-    def _reattach(self, connection: ClientConnection, set_up: SetUpRequest, established: bool) -> bool:
+    def _reattach(self, connection: ClientConnection, session_id: str, established: bool) -> bool:
         """Attach an established session whose connection is gone to the connection that requests it again.
 
         This is the case after a takeover from another router, or when the client reconnects.  `established`
         says that the client reports the session as playing already, in which case no answer is due.  Returns
         False if there is no such session.
         """
-        session_id = set_up.session_id
         request = self.router.by_session_id.get(session_id)
         client = None if request is None else request.client
         if request is None or request.state is not State.ESTABLISHED or not isinstance(client, RtspClient):
             return False
         previous = self.connections.get(client.connection_handle)
-        if previous is not None and not previous.gone or not set_up.is_for_session_of(request.set_up):
+        if previous is not None and not previous.gone:
             return False
         client.set_established(False)
         client.connection_handle, client.peer = connection.handle, connection.peer
--- a/cloverhinge/rtsp/replicated_sessions.py
+++ b/cloverhinge/rtsp/replicated_sessions.py
@@ -5,7 +5,7 @@
 from cloverhinge.core.model import Request, SetUpRequest
 from cloverhinge.core.router import Router
 from cloverhinge.ownership.component import SESSION_PREFIX, OwnershipComponent
-from cloverhinge.ownership.replicated_work import ReplicatedSession, decode, digest_of, encode
+from cloverhinge.ownership.replicated_work import ReplicatedSession, decode, describe, encode, is_same_work
 from cloverhinge.rtsp.client import RtspClient
 from cloverhinge.rtsp.front import RtspFrontend
 from cloverhinge.rtsp.media_servers import MediaServers
@@ -30,14 +30,11 @@
         return b"" if session is None else session.answer
 
     def conflicts_with_record(self, set_up: SetUpRequest) -> bool:
-        """Whether this router knows a record of another session under the set-up's id."""
-        session = ReplicatedSession(
-            set_up.class_name,
-            set_up.title,
-            set_up.viewer_id,
-            description_digest=digest_of(set_up.body),
-        )
-        return self.ownership.core.claim_conflicts(f"{SESSION_PREFIX}/{set_up.session_id}", encode(session))
+        """Whether this router has a request, or knows a record, of another session under the set-up's id."""
+        body, held = encode(describe(set_up)), self.router.by_session_id.get(set_up.session_id)
+        if held is not None and not is_same_work(encode(describe(held.set_up)), body):
+            return True
+        return self.ownership.core.claim_conflicts(f"{SESSION_PREFIX}/{set_up.session_id}", body)
 
     def record_name(self, text: str) -> str:
         return text
